--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -15,6 +15,7 @@
 type commands struct {
 	Serve    serveCommand    `cmd:"" help:"Run a balancer, a control voter or both."`
 	Check    checkCommand    `cmd:"" help:"Validate settings and configuration files."`
+	Machine  machineCommand  `cmd:"" help:"Run a process on a VM of the platform."`
 	Apply    applyCommand    `cmd:"" help:"Replace services and presets as a whole."`
 	Preset   presetCommand   `cmd:"" help:"Switch or list presets."`
 	Status   statusCommand   `cmd:"" help:"Show voters and balancers."`
--- a/internal/configuration/history/history.go
+++ b/internal/configuration/history/history.go
@@ -21,6 +21,9 @@
 	RemovedServices []string
 	Presets         []configuration.Preset
 	RemovedPresets  []string
+	Routes          []configuration.Route `cbor:",omitempty"`
+	RemovedRoutes   []string              `cbor:",omitempty"`
+	Limits          configuration.Limits  `cbor:",omitzero"`
 	// Digest is that of the whole configuration at To.
 	Digest uint64
 }
@@ -124,9 +127,13 @@
 	presetName := func(p configuration.Preset) string { return p.Name }
 	d.Services, d.RemovedServices = changes(from.Services, to.Services, serviceName)
 	d.Presets, d.RemovedPresets = changes(from.Presets, to.Presets, presetName)
+	d.Routes, d.RemovedRoutes = changes(from.Routes, to.Routes, routeName)
+	d.Limits = to.Limits
 	return d
 }
 
+func routeName(r configuration.Route) string { return r.Name }
+
 // changes returns the items that are new or differ, and the names that are gone.
 func changes[T any](from, to []T, name func(T) string) ([]T, []string) {
 	old := lo.KeyBy(from, name)
@@ -146,6 +153,8 @@
 	c.Revision, c.InForce = d.To, d.InForce
 	c.Services = merge(c.Services, d.Services, d.RemovedServices, func(s configuration.Service) string { return s.Name })
 	c.Presets = merge(c.Presets, d.Presets, d.RemovedPresets, func(p configuration.Preset) string { return p.Name })
+	c.Routes = merge(c.Routes, d.Routes, d.RemovedRoutes, routeName)
+	c.Limits = d.Limits
 	return c
 }
 
--- a/internal/control/agreement/agreement.go
+++ b/internal/control/agreement/agreement.go
@@ -22,6 +22,16 @@
 	Seed     uint64
 	// EntriesPerMessage bounds an Append.
 	EntriesPerMessage int
+	// Meet are further voters to ask for admission.
+	Meet []Voter
+	// Joins forbids founding: the system is known to run already, and an empty
+	// disk here is a lost or a new one.
+	Joins bool
+	// FirstElection is the most silence of a leader after a start before the
+	// first vote; Election is used where it is 0. After a loss of power
+	// everywhere nobody leads, and waiting a whole Election would only add to
+	// the outage; a voter that does hear a leader is denied by the others.
+	FirstElection time.Duration
 }
 
 // Role is what a voter is at the moment.
@@ -105,6 +115,7 @@
 		random: rand.New(rand.NewPCG(s.Seed, uint64(len(s.Self.Id)))),
 	}
 	a.durable = a.lastIndex()
+	a.commit = min(max(a.commit, d.Commit), a.durable)
 	for _, e := range a.entries {
 		a.noteVoters(e)
 	}
@@ -112,6 +123,9 @@
 		a.role = Unfounded
 	}
 	a.resetDeadline(now)
+	if s.FirstElection > 0 {
+		a.deadline = now.Add(time.Duration(a.random.Int64N(int64(s.FirstElection))))
+	}
 	return a
 }
 
@@ -161,6 +175,34 @@
 const leaseShare = 0.8
 
 func (a *Agreement) leaseEnd(now time.Time) time.Time {
+	return a.confirmed(now).Add(time.Duration(float64(a.settings.Election) * leaseShare))
+}
+
+// ConfirmedSince says that this voter still led after the given time: a
+// majority answered a message that was sent later. A lease alone would not do
+// for reads: a VM that was suspended does not know that its lease ran out.
+func (a *Agreement) ConfirmedSince(now, since time.Time) bool {
+	return a.role == Leader && a.commit >= a.leaderFrom && !a.confirmed(now).Before(since)
+}
+
+// Confirm asks the followers for answers without waiting for the next heartbeat.
+func (a *Agreement) Confirm(now time.Time) []Effect {
+	a.effects = nil
+	if a.role == Leader {
+		for _, v := range a.others() {
+			if p := a.follow(v.Id); !p.pending {
+				a.replicate(now, v.Id, p)
+			}
+		}
+	}
+	return a.effects
+}
+
+// Commit returns the index up to which entries are known to be accepted.
+func (a *Agreement) Commit() uint64 { return a.commit }
+
+// confirmed returns the latest sending time that a majority answered.
+func (a *Agreement) confirmed(now time.Time) time.Time {
 	times := lo.FilterMap(a.voters, func(v Voter, _ int) (time.Time, bool) {
 		switch p := a.progress[v.Id]; {
 		case v.Learner:
@@ -177,7 +219,7 @@
 		return time.Time{}
 	}
 	slices.SortFunc(times, func(x, y time.Time) int { return y.Compare(x) })
-	return times[len(times)/2].Add(time.Duration(float64(a.settings.Election) * leaseShare))
+	return times[len(times)/2]
 }
 
 // Reduce applies one event and returns what must be done, in order.
@@ -200,6 +242,13 @@
 	return a.effects
 }
 
+// Replay returns the entries that the disk knew to be accepted at the start.
+func (a *Agreement) Replay() []Effect {
+	a.effects = nil
+	a.apply()
+	return a.effects
+}
+
 // Propose adds a command to the log and returns its place; the change is
 // accepted when that place is applied with the same term.
 func (a *Agreement) Propose(now time.Time, data []byte) (Entry, []Effect, error) {
@@ -231,9 +280,19 @@
 	return t
 }
 
+// bytesPerMessage bounds an Append beside the number of its entries: a message
+// must get through a slow link within the time a call may take, and one of many
+// large configurations would not, again and again.
+const bytesPerMessage = 1 << 20
+
 func (a *Agreement) entriesFrom(i uint64, limit int) []Entry {
 	es := a.entries[i-a.snapshot.Index-1:]
-	return slices.Clone(es[:min(len(es), limit)])
+	n, size := 0, 0
+	for n < min(len(es), limit) && (n == 0 || size+len(es[n].Data) <= bytesPerMessage) {
+		size += len(es[n].Data)
+		n++
+	}
+	return slices.Clone(es[:n])
 }
 
 func (a *Agreement) resetDeadline(now time.Time) {
@@ -355,12 +414,39 @@
 	}
 }
 
-// AddressOf returns the address of a voter that said hello, by its id.
+// Addresses returns where the voters listen that are in the list or said hello,
+// in order, this one included.
+func (a *Agreement) Addresses() []string {
+	known := []string{a.settings.Self.Address}
+	for _, v := range a.voters {
+		known = append(known, v.Address)
+	}
+	for _, h := range a.hellos {
+		known = append(known, h.voter.Address)
+	}
+	slices.Sort(known)
+	return slices.Compact(known)
+}
+
+// Meet adds a voter to those that are asked to take this one in.
+func (a *Agreement) Meet(v Voter) {
+	if !lo.ContainsBy(a.settings.Meet, func(o Voter) bool { return o.Name == v.Name }) {
+		a.settings.Meet = append(slices.Clone(a.settings.Meet), v)
+	}
+}
+
+// AddressOf returns the address of a voter that said hello, by its id, or of
+// one to ask for admission, by its name.
 func (a *Agreement) AddressOf(id string) string {
 	for _, h := range a.hellos {
 		if h.voter.Id == id {
 			return h.voter.Address
 		}
 	}
+	for _, v := range a.settings.Meet {
+		if v.Name == id {
+			return v.Address
+		}
+	}
 	return ""
 }
--- a/internal/control/agreement/durable.go
+++ b/internal/control/agreement/durable.go
@@ -55,6 +55,8 @@
 	Vote     Vote
 	Snapshot Snapshot
 	Entries  []Entry
+	// Commit is the index up to which entries are known to be accepted.
+	Commit uint64
 }
 
 // OrderError says that an entry does not follow the one before it.
@@ -80,5 +82,8 @@
 	Entries []Entry
 	// Snapshot replaces the log's beginning; Entries are then the whole rest.
 	Snapshot *Snapshot
-	Then     []Message
+	// Commit is kept so that a voter that restarts cut off from the others
+	// still knows which configuration was in force.
+	Commit uint64
+	Then   []Message
 }
--- a/internal/control/agreement/election.go
+++ b/internal/control/agreement/election.go
@@ -1,6 +1,7 @@
 package agreement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -13,8 +14,10 @@
 		return
 	}
 	a.lastBeat = now
-	for _, f := range a.settings.Founders {
-		if f.Name != a.settings.Self.Name {
+	told := map[string]bool{a.settings.Self.Name: true}
+	for _, f := range slices.Concat(a.settings.Founders, a.settings.Meet, a.voters) {
+		if !told[f.Name] {
+			told[f.Name] = true
 			a.send(Message{Kind: Hello, To: f.Name, Voter: a.settings.Self, Granted: a.role != Unfounded})
 		}
 	}
@@ -24,7 +27,7 @@
 // found writes the first list of voters, once every founder is known to be
 // empty: a founder that is silent may hold a log already.
 func (a *Agreement) found(now time.Time) {
-	if a.role != Unfounded {
+	if a.role != Unfounded || a.settings.Joins {
 		return
 	}
 	voters := []Voter{a.settings.Self}
@@ -110,8 +113,18 @@
 
 func (a *Agreement) receiveHello(now time.Time, m Message) {
 	a.hellos[m.Voter.Name] = hello{voter: m.Voter, founded: m.Granted, heard: now}
-	if a.role == Leader {
+	switch {
+	case a.role == Leader:
 		a.admit(now, m.Voter)
+	case a.leader != "" && m.Index == 0 && a.trustsLeader(now):
+		// A newcomer may know none of the voters that lead; Index marks a hello
+		// that was passed on, so that two voters do not pass it to and fro.
+		a.send(Message{Kind: Hello, To: a.leader, Voter: m.Voter, Granted: m.Granted, Index: 1})
+	}
+	if !m.Granted && a.lastIndex() == 1 && a.voter(m.Voter.Id).Id != "" {
+		// The founding message to this voter was lost: without another one it
+		// would never take part.
+		a.send(Message{Kind: Found, To: m.Voter.Id, Voters: a.voters})
 	}
 }
 
@@ -161,7 +174,10 @@
 	a.preVoting = true
 	a.votes = map[string]bool{a.settings.Self.Id: true}
 	for _, v := range a.others() {
-		a.send(Message{Kind: PreVote, To: v.Id, Term: a.vote.Term + 1, Index: a.lastIndex(), LogTerm: a.lastTerm()})
+		a.send(Message{
+			Kind: PreVote, To: v.Id, Term: a.vote.Term + 1, Index: a.lastIndex(), LogTerm: a.lastTerm(),
+			Voter: a.settings.Self,
+		})
 	}
 	a.checkPreVotes(now)
 }
@@ -174,6 +190,11 @@
 }
 
 func (a *Agreement) receivePreVote(now time.Time, m Message) {
+	if a.voter(m.From).Id == "" && m.Voter.Id != "" && a.role != Unfounded {
+		// A voter that was replaced while it was cut off still believes in the
+		// old list and asks for votes for ever; it is taken in again.
+		a.receiveHello(now, Message{Kind: Hello, From: m.From, Voter: m.Voter, Granted: true})
+	}
 	granted := a.mayVote() && !a.trustsLeader(now) && m.Term > a.vote.Term && a.upToDate(m)
 	term := a.vote.Term
 	if granted {
--- a/internal/control/agreement/replication.go
+++ b/internal/control/agreement/replication.go
@@ -205,30 +205,65 @@
 	case known:
 		// A live voter of that name stays: two processes with one name are a
 		// mistake in the settings, not a replaced disk.
-		if p := a.progress[old.Id]; p != nil && now.Sub(p.answered) < 2*a.settings.Election {
-			return
+		if a.silence(now, old) >= 2*a.settings.Election {
+			a.removeVoter(now, old)
 		}
-		a.changeVoters(now, lo.Filter(a.voters, func(o Voter, _ int) bool { return o.Id != old.Id }))
 	default:
 		v.Learner = true
 		a.changeVoters(now, append(slices.Clone(a.voters), v))
 	}
 }
 
+// silence is how long a follower has not answered.
+func (a *Agreement) silence(now time.Time, v Voter) time.Duration {
+	since := a.leaderSince
+	if p := a.progress[v.Id]; p != nil && p.answered.After(since) {
+		since = p.answered
+	}
+	return now.Sub(since)
+}
+
+func (a *Agreement) removeVoter(now time.Time, v Voter) {
+	a.changeVoters(now, lo.Filter(a.voters, func(o Voter, _ int) bool { return o.Id != v.Id }))
+}
+
+// replaceAfter is how many elections' time a voter is silent before one that
+// came newly takes its place. A machine that is gone for good would otherwise
+// count towards the majority for ever, and the next loss would stop all
+// changes; one that comes back after all is taken in again.
+const replaceAfter = 5
+
+// replaced returns the longest silent voter, where that is long enough.
+func (a *Agreement) replaced(now time.Time) (Voter, bool) {
+	silent := lo.Filter(a.others(), func(v Voter, _ int) bool {
+		return !v.Learner && a.silence(now, v) >= replaceAfter*a.settings.Election
+	})
+	if len(silent) == 0 {
+		return Voter{}, false
+	}
+	return lo.MaxBy(silent, func(x, y Voter) bool { return a.silence(now, x) > a.silence(now, y) }), true
+}
+
 func (a *Agreement) changingVoters() bool { return a.votersAt > a.commit }
 
-// promote gives a vote to a learner that has caught up.
+// promote gives a vote to a learner that has caught up, after a voter that is
+// gone has left the list for it.
 func (a *Agreement) promote(now time.Time) {
-	if a.changingVoters() {
+	if a.changingVoters() || a.commit < a.leaderFrom {
 		return
 	}
 	for i, v := range a.voters {
-		if v.Learner && a.follow(v.Id).match >= a.commit && a.commit >= a.leaderFrom {
-			vs := slices.Clone(a.voters)
-			vs[i].Learner = false
-			a.changeVoters(now, vs)
+		if !v.Learner || a.silence(now, v) >= a.settings.Election || a.follow(v.Id).match < a.commit {
+			continue
+		}
+		if old, ok := a.replaced(now); ok {
+			a.removeVoter(now, old)
 			return
 		}
+		vs := slices.Clone(a.voters)
+		vs[i].Learner = false
+		a.changeVoters(now, vs)
+		return
 	}
 }
 
--- /dev/null
+++ b/internal/control/feed/feed.go
@@ -0,0 +1,146 @@
+package feed
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wasabideal/internal/configuration/history"
+	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/upstream/directory"
+	"wasabideal/internal/wire/rpc"
+)
+
+// Method is the name of the call that balancers make.
+const Method = "Feed.Since"
+
+// deltasKept is how many changes a balancer may miss and still get deltas.
+const deltasKept = 64
+
+// Question is what a balancer asks.
+type Question struct {
+	// Revision is the configuration held.
+	Revision uint64
+	// Life and Version are those of the voter's directory that the balancer
+	// heard last.
+	Life, Version uint64
+	// Hold is how long the answer may wait for news.
+	Hold time.Duration
+}
+
+// Answer brings a balancer up to date.
+type Answer struct {
+	History history.Answer
+	// Life changes when the voter restarts.
+	Life    uint64
+	Version uint64
+	Notices []directory.Notice
+	// Members are the call addresses of all voters that this one knows.
+	Members []string
+}
+
+// Feed is what one voter tells balancers; it is safe for concurrent use.
+type Feed struct {
+	mu        sync.Mutex
+	life      uint64
+	clock     func() time.Time
+	history   history.History
+	directory *directory.Directory
+	members   []string
+	changed   chan struct{}
+}
+
+// New returns an empty feed; life must differ from that of earlier processes.
+func New(life uint64, d *directory.Directory, clock func() time.Time) *Feed {
+	return &Feed{life: life, clock: clock, history: history.New(deltasKept), directory: d, changed: make(chan struct{})}
+}
+
+// Serve adds the feed's method to a server.
+func (f *Feed) Serve(r *rpc.Server, token string) {
+	rpc.Handle(r, Method, token, func(ctx context.Context, q Question) (Answer, error) { return f.Since(ctx, q), nil })
+}
+
+// Publish tells of a configuration; one that is not newer is ignored.
+func (f *Feed) Publish(c configuration.Configuration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.Revision > f.history.Current().Revision {
+		f.history = f.history.With(c)
+		f.wake()
+	}
+}
+
+// SetMembers tells of the voters.
+func (f *Feed) SetMembers(addresses []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members = addresses
+}
+
+// Announce notes an upstream's announcement, and reports whether it is news to
+// others and whether it is newer than what was known.
+func (f *Feed) Announce(now time.Time, u upstream.Upstream, cold time.Duration) (news, newer bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	news, newer = f.directory.Announce(now, u, cold)
+	if news {
+		f.wake()
+	}
+	return news, newer
+}
+
+// Tick lets announcements grow old.
+func (f *Feed) Tick(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.directory.Tick(now) {
+		f.wake()
+	}
+}
+
+// Notices returns all upstreams known.
+func (f *Feed) Notices(now time.Time) ([]directory.Notice, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.directory.Since(now, 0), f.directory.Version()
+}
+
+func (f *Feed) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Since answers at once if there is news, else after the hold or with the news.
+func (f *Feed) Since(ctx context.Context, q Question) Answer {
+	hold := time.NewTimer(q.Hold)
+	defer hold.Stop()
+	for {
+		a, news, changed := f.answer(q)
+		if news {
+			return a
+		}
+		select {
+		case <-changed:
+		case <-hold.C:
+			return a
+		case <-ctx.Done():
+			return a
+		}
+	}
+}
+
+func (f *Feed) answer(q Question) (Answer, bool, chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	version := q.Version
+	if q.Life != f.life {
+		version = 0
+	}
+	a := Answer{
+		History: f.history.Since(q.Revision), Life: f.life, Version: f.directory.Version(),
+		Notices: f.directory.Since(f.clock(), version), Members: f.members,
+	}
+	news := q.Life != f.life || f.history.Current().Revision > q.Revision || a.Version > version
+	return a, news, f.changed
+}
--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -23,8 +23,11 @@
 	// UsePreset names the preset to put in force; or Apply is the whole configuration.
 	UsePreset string
 	Apply     *configuration.Configuration
-	Who       string
-	When      time.Time
+	// Publish is a whole configuration that carries its own revision: the
+	// highest one wins, whatever revision was expected.
+	Publish *configuration.Configuration `cbor:",omitempty"`
+	Who     string
+	When    time.Time
 }
 
 // Verdict is how a change ended.
@@ -35,6 +38,9 @@
 	Accepted Verdict = "Accepted"
 	Conflict Verdict = "Conflict"
 	Invalid  Verdict = "Invalid"
+	// Superseded changes were accepted, and change nothing: a configuration of
+	// the same or a higher revision was there before.
+	Superseded Verdict = "Superseded"
 )
 
 // Answer is the one answer to a change key.
@@ -66,7 +72,7 @@
 		return &ConflictError{Answer: a}
 	case Invalid:
 		return &InvalidError{Answer: a}
-	case Accepted:
+	case Accepted, Superseded:
 	}
 	return nil
 }
@@ -195,6 +201,9 @@
 // decide executes a change under the rules that all voters share.
 func (l *Ledger) decide(c Change) Answer {
 	current := l.Current()
+	if c.Publish != nil {
+		return l.publish(c)
+	}
 	if c.ExpectRevision != current.Revision {
 		return Answer{Verdict: Conflict, Revision: current.Revision, WinnerKey: l.last.ChangeKey, WinnerWho: l.last.Who}
 	}
@@ -207,6 +216,34 @@
 	return Answer{Verdict: Accepted, Revision: next.Revision}
 }
 
+// publish takes a configuration whose revision is the operators' own order. An
+// equal revision with other content changes nothing either: what was read back
+// under a revision must stay what it was.
+func (l *Ledger) publish(c Change) Answer {
+	current := l.Current()
+	next := WithPresets(*c.Publish, current)
+	if err := next.Check(); err != nil {
+		return Answer{Verdict: Invalid, Revision: current.Revision, Reason: err.Error()}
+	}
+	if next.Revision <= current.Revision {
+		return Answer{Verdict: Superseded, Revision: current.Revision}
+	}
+	l.current = next
+	l.last = Change{ChangeKey: c.ChangeKey, Who: c.Who}
+	return Answer{Verdict: Accepted, Revision: next.Revision}
+}
+
+// WithPresets returns a published configuration with the presets in force: such
+// a configuration names routes and services and leaves the presets alone.
+func WithPresets(c, current configuration.Configuration) configuration.Configuration {
+	c.InForce, c.Presets = current.InForce, current.Presets
+	if len(c.Presets) == 0 {
+		p := configuration.OrdinaryPreset()
+		c.InForce, c.Presets = p.Name, []configuration.Preset{p}
+	}
+	return c
+}
+
 // Next returns the configuration that a change leads to, checked as a whole.
 func Next(current configuration.Configuration, c Change) (configuration.Configuration, error) {
 	next := current
--- /dev/null
+++ b/internal/control/upstreams/upstreams.go
@@ -0,0 +1,127 @@
+package upstreams
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"wasabideal/internal/control/feed"
+	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/wire/rpc"
+)
+
+// Method is the name of the call by which voters share announcements.
+const Method = "Upstreams.Share"
+
+// shareTimeout bounds the wait for other voters. Upstreams give an announcement
+// about a second and then turn to another voter.
+const shareTimeout = 600 * time.Millisecond
+
+// UnsharedError says that too few voters took a departure.
+type UnsharedError struct{ Holders, Needed int }
+
+func (e *UnsharedError) Error() string {
+	return fmt.Sprintf("departure is held by %d voters where %d are needed; announce it again or elsewhere", e.Holders, e.Needed)
+}
+
+// Settings of the announcements at one voter.
+type Settings struct {
+	Token string
+	Clock func() time.Time
+	// Others returns the call addresses of the other voters.
+	Others func() []string
+}
+
+// shared is an announcement on its way between voters.
+type shared struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream upstream.Upstream
+	Cold     time.Duration
+}
+
+type empty struct{}
+
+// Upstreams takes announcements; it is safe for concurrent use.
+type Upstreams struct {
+	settings Settings
+	feed     *feed.Feed
+	log      hclog.Logger
+	mu       sync.Mutex
+	clients  map[string]*rpc.Client
+}
+
+// New returns the announcements' taker for a feed.
+func New(s Settings, f *feed.Feed, log hclog.Logger) *Upstreams {
+	return &Upstreams{settings: s, feed: f, log: log, clients: map[string]*rpc.Client{}}
+}
+
+// Serve adds the method for other voters to a server.
+func (u *Upstreams) Serve(r *rpc.Server) {
+	rpc.Handle(r, Method, u.settings.Token, func(_ context.Context, s shared) (empty, error) {
+		u.feed.Announce(u.settings.Clock(), s.Upstream, s.Cold)
+		return empty{}, nil
+	})
+}
+
+// Announce takes an upstream's announcement and returns when it may be
+// acknowledged. A departure must be held by a majority of voters first: if only
+// this one knew and failed right after, balancers would go on sending new flows
+// to an upstream that was told that none would come.
+func (u *Upstreams) Announce(ctx context.Context, a upstream.Upstream, cold time.Duration) error {
+	news, _ := u.feed.Announce(u.settings.Clock(), a, cold)
+	if news {
+		u.log.Info("upstream announced", "Incarnation", fmt.Sprintf("%x", a.Incarnation), "Service", a.Service,
+			"Address", a.Address.String(), "State", a.State.String(), "Sequence", a.Sequence)
+	}
+	if a.State == upstream.Ready {
+		return nil
+	}
+	return u.share(ctx, shared{Upstream: a, Cold: cold})
+}
+
+// share tells the other voters and waits until a majority holds the news.
+func (u *Upstreams) share(ctx context.Context, s shared) error {
+	others := u.settings.Others()
+	needed := (len(others)+1)/2 + 1
+	// A caller that gives up must not keep the others from hearing the news.
+	ctx = context.WithoutCancel(ctx)
+	taken := make(chan bool, len(others))
+	for _, address := range others {
+		go func() {
+			call, cancel := context.WithTimeout(ctx, shareTimeout)
+			defer cancel()
+			_, err := rpc.Call[shared, empty](call, u.client(address), Method, s)
+			if err != nil {
+				u.log.Debug("announcement not shared", "Address", address, "Error", err)
+			}
+			taken <- err == nil
+		}()
+	}
+	holders := 1
+	for range others {
+		if holders >= needed {
+			break
+		}
+		if <-taken {
+			holders++
+		}
+	}
+	if holders < needed {
+		return &UnsharedError{Holders: holders, Needed: needed}
+	}
+	return nil
+}
+
+func (u *Upstreams) client(address string) *rpc.Client {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	c := u.clients[address]
+	if c == nil {
+		c = rpc.NewClient(address, u.settings.Token)
+		u.clients[address] = c
+	}
+	return c
+}
--- a/internal/control/voter/outbox.go
+++ b/internal/control/voter/outbox.go
@@ -44,7 +44,7 @@
 // addressOf finds a voter by its id, or a founder by its name.
 func (v *Voter) addressOf(to string) string {
 	for _, x := range v.agreement.Status(v.settings.Clock()).Voters {
-		if x.Id == to {
+		if x.Id == to || x.Name == to {
 			return x.Address
 		}
 	}
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -14,6 +15,7 @@
 	"wasabideal/internal/control/keeper"
 	"wasabideal/internal/control/ledger"
 	"wasabideal/internal/disk/wal"
+	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -27,6 +29,8 @@
 	AuditMethod   = "Operator.Audit"
 	ForgetMethod  = "Operator.ForgetBalancer"
 	HelloMethod   = "Roster.Hello"
+	PublishMethod = "Voter.Publish"
+	ReadMethod    = "Voter.Read"
 )
 
 // Settings of a control process.
@@ -42,6 +46,11 @@
 	Keeper        keeper.Settings
 	// Clock is where this edge reads the time.
 	Clock func() time.Time
+	// Reopen reads the disk again after it refused a write; without it the
+	// voter stays read-only.
+	Reopen func() (*wal.Wal, agreement.Durable, error)
+	// Changed is told of each configuration that comes in force, if set.
+	Changed func(configuration.Configuration)
 }
 
 // UnknownError says that a change may or may not have been accepted.
@@ -74,6 +83,16 @@
 	events    []agreement.Event
 	ctx       context.Context
 	outgoing  sync.WaitGroup
+	// failedAt is when the disk refused a write, zero while it works.
+	failedAt time.Time
+	// marked is the accepted index that the disk knows of, markedAt when it was told.
+	marked   uint64
+	markedAt time.Time
+	// reads wait for a majority to confirm that this voter leads.
+	reads []*pendingRead
+	// members are the call addresses of all voters known, for readers that must
+	// not wait for the disk.
+	members atomic.Pointer[[]string]
 }
 
 type waiter struct {
@@ -92,11 +111,17 @@
 	if err := v.ledger.Restore(d.Snapshot.Data); err != nil {
 		return nil, err
 	}
+	v.marked = d.Commit
+	// What the disk knows to be accepted is in force at once.
+	v.carryOut(v.agreement.Replay())
 	v.publish()
 	return v, nil
 }
 
 func (v *Voter) publish() {
+	if v.settings.Changed != nil && v.ledger.Current().Revision > 0 {
+		v.settings.Changed(v.ledger.Current())
+	}
 	v.source.Publish(v.ledger.Current())
 	v.source.PublishRoster(v.ledger.Roster())
 }
@@ -122,6 +147,8 @@
 	rpc.Handle(r, AuditMethod, operator, v.audit)
 	rpc.Handle(r, ForgetMethod, operator, v.forget)
 	rpc.Handle(r, HelloMethod, group, v.hello)
+	rpc.Handle(r, PublishMethod, group, v.publishHere)
+	rpc.Handle(r, ReadMethod, group, v.readHere)
 }
 
 // Run ticks until the context ends.
@@ -137,7 +164,9 @@
 			v.outgoing.Wait()
 			return
 		case <-t.C:
+			v.recoverDisk()
 			v.step(agreement.Event{Tick: true})
+			v.markAccepted()
 			v.keepRoster()
 		}
 	}
@@ -164,7 +193,19 @@
 		v.events = v.events[1:]
 		v.carryOut(v.agreement.Reduce(v.settings.Clock(), e))
 	}
+	v.answerReads()
 	v.compactIfLong()
+	members := v.agreement.Addresses()
+	v.members.Store(&members)
+}
+
+// Members returns the call addresses of all voters that this one knows, itself
+// included.
+func (v *Voter) Members() []string {
+	if m := v.members.Load(); m != nil {
+		return *m
+	}
+	return nil
 }
 
 // carryOut does what the reducer asked for, in its order: nothing that follows
@@ -177,6 +218,7 @@
 		case x.Persist != nil:
 			if err := v.wal.Write(*x.Persist); err != nil {
 				v.log.Error("voter is read-only now", "Error", err)
+				v.failedAt = v.settings.Clock()
 				v.events = append(v.events, agreement.Event{DiskFailed: true})
 				return
 			}
@@ -213,6 +255,7 @@
 	}
 	_, answer, record := v.ledger.Apply(e.Data)
 	v.publish()
+	v.log.Info("change applied", "Index", e.Index, "Verdict", answer.Verdict, "Revision", answer.Revision)
 	if record != nil {
 		v.trail.Write(e.Index, *record)
 	}
--- /dev/null
+++ b/internal/cookie/follower/follower.go
@@ -0,0 +1,149 @@
+package follower
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"wasabideal/internal/configuration/history"
+	"wasabideal/internal/control/feed"
+	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/wire/rpc"
+)
+
+const (
+	// hold is how long a voter may keep a question without news. It is the time
+	// in which a connection that went silent is noticed, together with grace.
+	hold = 800 * time.Millisecond
+	// grace is the time beyond hold after which an answer is given up: several
+	// round trips to the farthest zone, and a slow voter's turn.
+	grace = 700 * time.Millisecond
+	// retryAfter is the pause after a failed call, retryMost its longest.
+	retryAfter = 100 * time.Millisecond
+	retryMost  = time.Second
+	// forgetAfter is how long a voter that no other names any more is asked in vain.
+	forgetAfter = 30 * time.Second
+)
+
+// Listener takes what voters answer; calls come from several goroutines.
+type Listener interface {
+	// Held returns the configuration in force.
+	Held() configuration.Configuration
+	// Answered takes one answer of the voter at an address.
+	Answered(address string, c configuration.Configuration, a feed.Answer)
+}
+
+// Follower asks all voters it knows.
+type Follower struct {
+	token    string
+	clock    func() time.Time
+	log      hclog.Logger
+	listener Listener
+	mu       sync.Mutex
+	ctx      context.Context
+	asking   map[string]bool
+	named    map[string]time.Time
+	running  sync.WaitGroup
+}
+
+// New returns a follower that begins with Start.
+func New(token string, clock func() time.Time, l Listener, log hclog.Logger) *Follower {
+	return &Follower{token: token, clock: clock, log: log, listener: l, asking: map[string]bool{}, named: map[string]time.Time{}}
+}
+
+// Start begins to ask; it ends with the context.
+func (f *Follower) Start(ctx context.Context, sources []string) {
+	f.ctx = ctx
+	f.Name(sources)
+}
+
+// Wait returns when all asking has ended.
+func (f *Follower) Wait() { f.running.Wait() }
+
+// Name tells of voters' addresses; those not known yet are asked from now on.
+func (f *Follower) Name(addresses []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	for _, a := range addresses {
+		f.named[a] = now
+		if f.asking[a] || f.ctx.Err() != nil {
+			continue
+		}
+		f.asking[a] = true
+		f.running.Add(1)
+		go f.ask(a)
+	}
+}
+
+// over says, and notes, that a voter need not be asked any more.
+func (f *Follower) over(address string, failing time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if failing < forgetAfter || f.clock().Sub(f.named[address]) < forgetAfter {
+		return false
+	}
+	delete(f.asking, address)
+	delete(f.named, address)
+	return true
+}
+
+func (f *Follower) ask(address string) {
+	defer f.running.Done()
+	client := rpc.NewClient(address, f.token)
+	defer client.Close()
+	var q feed.Question
+	pause, answered := retryAfter, f.clock()
+	failing := false
+	for f.ctx.Err() == nil {
+		err := f.once(client, address, &q)
+		if err == nil {
+			if failing {
+				f.log.Info("voter answers again", "Address", address)
+			}
+			pause, answered, failing = retryAfter, f.clock(), false
+			continue
+		}
+		if !failing && f.ctx.Err() == nil {
+			f.log.Warn("voter does not answer", "Address", address, "Error", err)
+		}
+		failing = true
+		if f.over(address, f.clock().Sub(answered)) {
+			return
+		}
+		select {
+		case <-f.ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, retryMost)
+	}
+}
+
+func (f *Follower) once(client *rpc.Client, address string, q *feed.Question) error {
+	held := f.listener.Held()
+	q.Revision, q.Hold = held.Revision, hold
+	ctx, cancel := context.WithTimeout(f.ctx, hold+grace)
+	defer cancel()
+	a, err := rpc.Call[feed.Question, feed.Answer](ctx, client, feed.Method, *q)
+	if err != nil {
+		return err
+	}
+	next, err := history.Follow(held, a.History)
+	if err != nil {
+		// The next question asks for the whole configuration.
+		f.log.Warn("configuration cannot be followed", "Address", address, "Error", err)
+		q.Revision, next = 0, held
+		if a, err = rpc.Call[feed.Question, feed.Answer](ctx, client, feed.Method, *q); err != nil {
+			return err
+		}
+		if next, err = history.Follow(held, a.History); err != nil {
+			return err
+		}
+	}
+	q.Life, q.Version = a.Life, a.Version
+	f.Name(a.Members)
+	f.listener.Answered(address, next, a)
+	return nil
+}
--- /dev/null
+++ b/internal/cookie/router/choose.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"time"
+
+	"wasabideal/internal/model/configuration"
+)
+
+const (
+	// coldShare is the part of its load that an upstream takes just after its
+	// start, when requests take over one and a half times as long.
+	coldShare = 0.5
+	// flowWeight is the load that an open flow without a request under way
+	// counts for: callers pause for about a second between requests of some 25 ms.
+	flowWeight = 0.03
+	// spillLoad is the load in requests a slot by which an upstream of the own
+	// zone may exceed one elsewhere: less traffic between zones, and a zone that
+	// is cut off has its flows where it can reach them.
+	spillLoad = 0.75
+)
+
+// rank orders candidates: a lower one is taken before any higher one.
+type rank int
+
+const (
+	rankHealthy rank = iota
+	// rankDoubtful targets are silent to the voters, or suspected here.
+	rankDoubtful
+	rankSilent
+)
+
+func (t *target) rank(now time.Time) rank {
+	switch suspected := t.suspected(now); {
+	case t.Live && !suspected:
+		return rankHealthy
+	case t.Live || !suspected:
+		return rankDoubtful
+	default:
+		return rankSilent
+	}
+}
+
+func (t *target) load(now time.Time) float64 {
+	return (float64(t.opening+t.working) + flowWeight*float64(t.flows)) / t.slots(now)
+}
+
+// choose returns the upstream of a service for a new flow, nil where there is
+// none. Lower ranks go first, then the least load, with the own zone preferred.
+func (r *Router) choose(now time.Time, service string) *target {
+	var best *target
+	var bestRank rank
+	var bestLoad float64
+	candidates := r.pools[service]
+	start := 0
+	if len(candidates) > 0 {
+		r.turn++
+		start = r.turn % len(candidates)
+	}
+	for i := range candidates {
+		t := candidates[(start+i)%len(candidates)]
+		k, load := t.rank(now), t.load(now)
+		if t.Zone != r.settings.Zone {
+			load += spillLoad
+		}
+		if best == nil || k < bestRank || k == bestRank && load < bestLoad {
+			best, bestRank, bestLoad = t, k, load
+		}
+	}
+	return best
+}
+
+// pick returns the service of a route for a new flow, by the weights and a
+// number that stays the same for all copies of the flow's opening.
+func pick(backends []configuration.Backend, number uint64) string {
+	total := 0
+	for _, b := range backends {
+		total += b.Weight
+	}
+	if total == 0 {
+		return ""
+	}
+	at := int(number % uint64(total))
+	for _, b := range backends {
+		if at -= b.Weight; at < 0 {
+			return b.Service
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/cookie/router/flow.go
@@ -0,0 +1,133 @@
+package router
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// openingFor is how long an unanswered opening is remembered; callers give
+	// one up after 1.4 s.
+	openingFor = 2 * time.Second
+	// flowFor is how long a silent flow is remembered for its share of the load.
+	flowFor = 15 * time.Second
+	// workingFor bounds how long a request counts as under way: its flow may
+	// have moved to another balancer in the meantime.
+	workingFor = 2 * time.Second
+	// flowLimit bounds the flows remembered; more are forwarded all the same,
+	// and only do not count as load. A flow takes about 150 bytes here.
+	flowLimit = 100_000
+	// sweepEvery is the time between two passes over the remembered flows.
+	sweepEvery = 500 * time.Millisecond
+)
+
+type flowKey struct{ caller, address netip.AddrPort }
+
+// flow is what is remembered of one flow that came through this balancer.
+type flow struct {
+	target *target
+	seen   time.Time
+	// opening is set until the caller shows that its flow is open.
+	opening bool
+	// sent is when the opening or the request under way was first sent.
+	sent    time.Time
+	working bool
+	// next is the end of what the caller has sent, acknowledged what it has got.
+	next, acknowledged uint32
+}
+
+func (r *Router) open(now time.Time, k flowKey, t *target) {
+	if len(r.flows) >= flowLimit {
+		return
+	}
+	r.flows[k] = &flow{target: t, seen: now, sent: now, opening: true}
+	t.opening++
+	t.flows++
+}
+
+// leave takes a flow's load off its target.
+func (f *flow) leave() {
+	if f.opening {
+		f.target.opening--
+	}
+	if f.working {
+		f.target.working--
+	}
+	f.target.flows--
+}
+
+func (r *Router) forget(k flowKey, f *flow) {
+	f.leave()
+	delete(r.flows, k)
+}
+
+// note learns from a packet of an open flow: answers that the caller got are
+// signs of life, a repeated request is a sign of silence.
+func (r *Router) note(now time.Time, k flowKey, t *target, p Packet) {
+	f := r.flows[k]
+	if f == nil || f.target != t {
+		if f != nil {
+			r.forget(k, f)
+		}
+		if len(r.flows) >= flowLimit {
+			return
+		}
+		f = &flow{target: t, next: p.Sequence, acknowledged: p.Acknowledged}
+		r.flows[k] = f
+		t.flows++
+	}
+	f.seen = now
+	if f.opening {
+		f.opening = false
+		t.opening--
+		t.sawLife(now)
+		f.next, f.acknowledged = p.Sequence, p.Acknowledged
+	}
+	if int32(p.Acknowledged-f.acknowledged) > 0 {
+		f.acknowledged = p.Acknowledged
+		t.sawLife(now)
+		if f.working {
+			f.working = false
+			t.working--
+		}
+	}
+	r.noteData(now, f, t, p)
+	if p.Finish || p.Reset {
+		r.forget(k, f)
+	}
+}
+
+func (r *Router) noteData(now time.Time, f *flow, t *target, p Packet) {
+	if p.Length == 0 {
+		return
+	}
+	end := p.Sequence + uint32(p.Length)
+	if int32(end-f.next) > 0 {
+		f.next = end
+		if !f.working {
+			f.working, f.sent = true, now
+			t.working++
+		}
+		return
+	}
+	if f.working && t.missed(now, f.sent) {
+		r.suspect(t)
+	}
+}
+
+// Tick forgets what is old; call it at a steady pace.
+func (r *Router) Tick(now time.Time) {
+	if now.Sub(r.swept) < sweepEvery {
+		return
+	}
+	r.swept = now
+	for k, f := range r.flows {
+		switch {
+		case f.opening && now.Sub(f.sent) > openingFor, now.Sub(f.seen) > flowFor:
+			r.forget(k, f)
+		case f.working && now.Sub(f.sent) > workingFor:
+			f.working = false
+			f.target.working--
+		}
+	}
+}
--- /dev/null
+++ b/internal/cookie/router/packet.go
@@ -0,0 +1,82 @@
+package router
+
+import "net/netip"
+
+// Packet is what the router needs to know of one packet from a caller.
+type Packet struct {
+	Caller  netip.AddrPort
+	Address netip.AddrPort
+	// Opening packets ask for a new flow; Copy counts their repetitions.
+	Opening bool
+	Copy    uint32
+	Finish  bool
+	Reset   bool
+	// Cookie is what the caller returns of what it was last sent, 0 for none.
+	Cookie uint32
+	// Sequence, Acknowledged and Length are those of the transport in the packet.
+	Sequence     uint32
+	Acknowledged uint32
+	Length       int
+}
+
+// Action is what to do with a packet.
+type Action uint8
+
+// The actions.
+const (
+	// Drop leaves the caller to repeat the packet.
+	Drop Action = iota
+	// Forward sends it to the verdict's target.
+	Forward
+	// Reset tells the caller at once that the flow cannot be.
+	Reset
+)
+
+var actionNames = [...]string{"Drop", "Forward", "Reset"}
+
+// String returns the action's name as it stands in logs.
+func (a Action) String() string { return actionNames[a] }
+
+// Reason says why a packet was not simply forwarded.
+type Reason uint8
+
+// The reasons.
+const (
+	// Known flows go to the upstream of their cookie.
+	Known Reason = iota
+	// Placed openings went to a chosen upstream.
+	Placed
+	// Repeated openings went to the upstream chosen before.
+	Repeated
+	// Unconfigured routers have no configuration yet.
+	Unconfigured
+	// NoRoute means that no route has the address.
+	NoRoute
+	// NoUpstream means that the route's service has no upstream.
+	NoUpstream
+	// UnknownCookie names no upstream that is known here.
+	UnknownCookie
+	// Ended upstreams are certainly gone.
+	Ended
+	// Stray packets belong to no flow and ask for none.
+	Stray
+)
+
+var reasonNames = [...]string{
+	"Known", "Placed", "Repeated", "Unconfigured", "NoRoute", "NoUpstream", "UnknownCookie", "Ended", "Stray",
+}
+
+// String returns the reason's name as it stands in logs.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Verdict is the router's decision on one packet.
+type Verdict struct {
+	Action Action
+	Reason Reason
+	// To, Incarnation and Cookie tell where a forwarded packet goes and what
+	// the ends are to return.
+	To          netip.AddrPort
+	Incarnation uint64
+	Cookie      uint32
+	Revision    uint64
+}
--- /dev/null
+++ b/internal/cookie/router/router.go
@@ -0,0 +1,160 @@
+package router
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/upstream/view"
+)
+
+// Settings of one balancer's router.
+type Settings struct {
+	// Zone is the availability zone of this balancer.
+	Zone string
+	// Suspected is told of an upstream that left a packet unanswered, if set.
+	Suspected func(view.Target)
+}
+
+// Router decides on each packet; one goroutine owns it.
+type Router struct {
+	settings Settings
+	revision uint64
+	routes   map[netip.AddrPort][]configuration.Backend
+	targets  map[uint64]*target
+	cookies  map[uint32]*target
+	pools    map[string][]*target
+	flows    map[flowKey]*flow
+	swept    time.Time
+	turn     int
+	strays   uint64
+}
+
+// New returns a router that drops everything until it is configured.
+func New(s Settings) *Router {
+	return &Router{
+		settings: s, routes: map[netip.AddrPort][]configuration.Backend{}, targets: map[uint64]*target{},
+		cookies: map[uint32]*target{}, pools: map[string][]*target{}, flows: map[flowKey]*flow{},
+	}
+}
+
+// RevertError is the broken promise that a configuration never goes back.
+type RevertError struct{ Held, Offered uint64 }
+
+func (e *RevertError) Error() string { return "broken promise: a configuration never goes back" }
+
+// Configure puts a configuration in force; an older one is refused.
+func (r *Router) Configure(c configuration.Configuration) error {
+	if c.Revision < r.revision {
+		return &RevertError{Held: r.revision, Offered: c.Revision}
+	}
+	r.revision = c.Revision
+	r.routes = make(map[netip.AddrPort][]configuration.Backend, len(c.Routes))
+	for _, x := range c.Routes {
+		r.routes[x.Address] = x.Backends()
+	}
+	return nil
+}
+
+// Revision returns the revision in force, 0 before the first.
+func (r *Router) Revision() uint64 { return r.revision }
+
+// SetTargets replaces the upstreams known; those that stay keep what was learnt.
+func (r *Router) SetTargets(targets []view.Target) {
+	kept := make(map[uint64]*target, len(targets))
+	r.pools = map[string][]*target{}
+	for _, x := range targets {
+		t := r.targets[x.Incarnation]
+		if t == nil {
+			t = &target{cookie: Cookie(x.Incarnation)}
+			// Two upstreams with one cookie cannot be told apart: the later one
+			// takes no flow, so that no packet of the other's flows reaches it.
+			t.clash = r.cookies[t.cookie] != nil
+		}
+		t.Target = x
+		kept[x.Incarnation] = t
+		if !t.clash {
+			r.cookies[t.cookie] = t
+		}
+		if t.takesFlows() {
+			r.pools[x.Service] = append(r.pools[x.Service], t)
+		}
+	}
+	for id, t := range r.targets {
+		if kept[id] == nil && !t.clash {
+			delete(r.cookies, t.cookie)
+		}
+	}
+	r.targets = kept
+}
+
+// Route decides on one packet from a caller.
+func (r *Router) Route(now time.Time, p Packet) Verdict {
+	if p.Opening {
+		return r.place(now, p)
+	}
+	if p.Cookie == 0 {
+		return Verdict{Action: Drop, Reason: Stray}
+	}
+	t := r.cookies[p.Cookie]
+	if t == nil {
+		return Verdict{Action: Drop, Reason: UnknownCookie}
+	}
+	if t.Ended {
+		if p.Reset {
+			return Verdict{Action: Drop, Reason: Ended}
+		}
+		return Verdict{Action: Reset, Reason: Ended}
+	}
+	r.note(now, flowKey{p.Caller, p.Address}, t, p)
+	return r.forward(t, Known)
+}
+
+func (r *Router) forward(t *target, why Reason) Verdict {
+	return Verdict{
+		Action: Forward, Reason: why, To: t.Address, Incarnation: t.Incarnation, Cookie: t.cookie, Revision: r.revision,
+	}
+}
+
+// place decides where a new flow goes. A copy goes where the first packet went:
+// a second upstream that answers later would draw the caller's packets to a
+// flow that is not open there.
+func (r *Router) place(now time.Time, p Packet) Verdict {
+	if r.revision == 0 {
+		return Verdict{Action: Drop, Reason: Unconfigured}
+	}
+	backends, ok := r.routes[p.Address]
+	if !ok {
+		return Verdict{Action: Reset, Reason: NoRoute, Revision: r.revision}
+	}
+	k := flowKey{p.Caller, p.Address}
+	if f := r.flows[k]; f != nil {
+		if f.opening && f.target.missed(now, f.sent) {
+			r.suspect(f.target)
+		}
+		if !f.target.Ended {
+			return r.forward(f.target, Repeated)
+		}
+		r.forget(k, f)
+	}
+	t := r.choose(now, pick(backends, k.number()))
+	if t == nil {
+		return Verdict{Action: Reset, Reason: NoUpstream, Revision: r.revision}
+	}
+	r.open(now, k, t)
+	return r.forward(t, Placed)
+}
+
+// number spreads flows over the backends of a split route.
+func (k flowKey) number() uint64 {
+	b := k.caller.Addr().As4()
+	return xxhash.Sum64(append(b[:], byte(k.caller.Port()>>8), byte(k.caller.Port())))
+}
+
+func (r *Router) suspect(t *target) {
+	if r.settings.Suspected != nil {
+		r.settings.Suspected(t.Target)
+	}
+}
--- a/internal/daemon/balancer/balancer.go
+++ b/internal/daemon/balancer/balancer.go
@@ -22,6 +22,7 @@
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/request/memory"
+	"wasabideal/internal/wire/datagram"
 	"wasabideal/internal/wire/pool"
 	"wasabideal/internal/wire/rpc"
 )
@@ -58,8 +59,8 @@
 	mu        sync.Mutex
 	reducer   *reducer.Reducer
 	effects   effect.List
-	fabric    *socket
-	peer      *socket
+	fabric    *datagram.Socket
+	peer      *datagram.Socket
 	rpc       net.Listener
 	admin     net.Listener
 	source    *source.Source
@@ -90,8 +91,8 @@
 		return nil, err
 	}
 	r := &b.settings.Reducer
-	r.Router.Address = b.peer.address()
-	r.Swim.Self.Address = b.peer.address()
+	r.Router.Address = b.peer.Address()
+	r.Swim.Self.Address = b.peer.Address()
 	r.Source = b.rpc.Addr().(*net.TCPAddr).AddrPort()
 	b.reducer = reducer.New(*r, s.Clock())
 	b.source = source.New(func() bool { return false })
@@ -106,10 +107,10 @@
 
 func (b *Balancer) listen() error {
 	var err error
-	if b.fabric, err = listenUDP(b.settings.Fabric); err != nil {
+	if b.fabric, err = datagram.Listen(b.settings.Fabric); err != nil {
 		return fmt.Errorf("listen on Fabric: %w", err)
 	}
-	if b.peer, err = listenUDP(b.settings.Peer); err != nil {
+	if b.peer, err = datagram.Listen(b.settings.Peer); err != nil {
 		return fmt.Errorf("listen on Peer: %w", err)
 	}
 	if b.rpc, err = net.Listen("tcp", b.settings.Rpc); err != nil {
@@ -132,7 +133,7 @@
 // Addresses returns where the balancer listens.
 func (b *Balancer) Addresses() Addresses {
 	return Addresses{
-		Fabric: b.fabric.address(), Peer: b.peer.address(),
+		Fabric: b.fabric.Address(), Peer: b.peer.Address(),
 		Rpc: b.rpc.Addr().String(), Admin: b.admin.Addr().String(), Doors: b.doorAddresses(),
 	}
 }
@@ -214,9 +215,9 @@
 	for _, e := range b.doors {
 		e.close()
 	}
-	for _, s := range []*socket{b.fabric, b.peer} {
+	for _, s := range []*datagram.Socket{b.fabric, b.peer} {
 		if s != nil {
-			s.close()
+			s.Close()
 		}
 	}
 	for _, l := range []net.Listener{b.rpc, b.admin} {
@@ -328,9 +329,9 @@
 		x := &b.effects.Effects[i]
 		switch x.Kind {
 		case effect.ToUpstream:
-			b.fabric.queue(x.To, x.Data)
+			b.fabric.Queue(x.To, x.Data)
 		case effect.ToPeer:
-			b.peer.queue(x.To, x.Data)
+			b.peer.Queue(x.To, x.Data)
 		case effect.Fetch:
 			b.fetch(x.To)
 		case effect.Drained:
@@ -340,8 +341,8 @@
 		}
 	}
 	now := b.settings.Clock()
-	for _, s := range []*socket{b.fabric, b.peer} {
-		if err := s.flush(); err != nil && b.ctx != nil && b.ctx.Err() == nil {
+	for _, s := range []*datagram.Socket{b.fabric, b.peer} {
+		if err := s.Flush(); err != nil && b.ctx != nil && b.ctx.Err() == nil {
 			b.limiter.log(now, b.log, "datagrams lost", err)
 		}
 	}
@@ -362,15 +363,15 @@
 }
 
 // read takes datagrams in batches and reduces each batch under one lock.
-func (b *Balancer) read(s *socket, kind event.Kind) {
+func (b *Balancer) read(s *datagram.Socket, kind event.Kind) {
 	for {
-		n, err := s.read()
+		n, err := s.Read()
 		if err != nil {
 			return
 		}
 		b.mu.Lock()
 		for i := range n {
-			from, data := s.datagram(i)
+			from, data := s.Datagram(i)
 			_ = b.apply(event.Event{Kind: kind, From: from, Data: data})
 		}
 		b.carryOut()
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,14 +13,18 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
 	"wasabideal/internal/control/agreement"
 	"wasabideal/internal/control/audit"
+	"wasabideal/internal/control/feed"
 	"wasabideal/internal/control/keeper"
+	"wasabideal/internal/control/upstreams"
 	"wasabideal/internal/control/voter"
 	"wasabideal/internal/disk/folder"
 	"wasabideal/internal/disk/local"
 	"wasabideal/internal/disk/wal"
+	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -41,6 +46,14 @@
 	OperatorToken string
 	Keeper        keeper.Settings
 	Clock         func() time.Time
+	// Joins forbids founding a new system: one is known to run.
+	Joins bool
+	// FirstElection is the most silence before the first vote after a start; 0
+	// waits for a whole Election.
+	FirstElection time.Duration
+	// SilentAfter is the time without an announcement after which an upstream
+	// counts as silent.
+	SilentAfter time.Duration
 }
 
 const entriesPerMessage = 256
@@ -52,9 +65,12 @@
 	folder   *local.Folder
 	listener net.Listener
 	voter    *voter.Voter
-	server   *rpc.Server
-	cancel   context.CancelFunc
-	running  sync.WaitGroup
+	feed     *feed.Feed
+	// upstreams takes announcements of upstreams for balancers that follow the feed.
+	upstreams *upstreams.Upstreams
+	server    *rpc.Server
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
 }
 
 // Listen opens the data folder and the port; listener may be nil to open Rpc.
@@ -89,15 +105,36 @@
 	if err != nil {
 		return err
 	}
+	c.feed = feed.New(life(), directory.New(directory.Settings{
+		SilentAfter: c.settings.SilentAfter, ForgetAfter: forgetUpstream,
+	}), c.settings.Clock)
 	c.voter, err = voter.New(c.voterSettings(id), w, durable, trail, c.log)
 	if err != nil {
 		return err
 	}
+	c.upstreams = upstreams.New(upstreams.Settings{
+		Token: c.settings.GroupToken, Clock: c.settings.Clock, Others: c.others,
+	}, c.feed, c.log)
+	c.recallUpstreams()
 	c.server = rpc.NewServer(c.voter.Denied)
 	c.voter.Serve(c.server)
+	c.feed.Serve(c.server, c.settings.GroupToken)
+	c.upstreams.Serve(c.server)
 	return nil
 }
 
+// life returns a number that no other life of this process had.
+func life() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails, by the package's word
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+// others returns the call addresses of the other voters.
+func (c *Control) others() []string {
+	return lo.Without(c.voter.Members(), c.listener.Addr().String())
+}
+
 func (c *Control) voterSettings(id string) voter.Settings {
 	s := c.settings
 	seed := uint64(0)
@@ -108,8 +145,10 @@
 		Agreement: agreement.Settings{
 			Self:     agreement.Voter{Name: s.Name, Id: id, Address: c.listener.Addr().String()},
 			Founders: s.Founders, Heartbeat: s.Heartbeat, Election: s.Election, Seed: seed,
-			EntriesPerMessage: entriesPerMessage,
+			EntriesPerMessage: entriesPerMessage, Joins: s.Joins, FirstElection: s.FirstElection,
 		},
+		Reopen:     func() (*wal.Wal, agreement.Durable, error) { return wal.Open(c.folder) },
+		Changed:    c.feed.Publish,
 		GroupToken: s.GroupToken, OperatorToken: s.OperatorToken, CompactAfter: s.CompactAfter,
 		Keeper: s.Keeper, Tick: s.Tick, AcceptTimeout: s.AcceptTimeout, Clock: s.Clock,
 	}
@@ -142,7 +181,11 @@
 // Start begins to serve and returns at once.
 func (c *Control) Start(ctx context.Context) {
 	ctx, c.cancel = context.WithCancel(ctx)
-	c.running.Add(2)
+	c.running.Add(3)
+	go func() {
+		defer c.running.Done()
+		c.keepUpstreams(ctx)
+	}()
 	go func() {
 		defer c.running.Done()
 		c.voter.Run(ctx)
@@ -158,6 +201,9 @@
 // Voter returns the voter inside.
 func (c *Control) Voter() *voter.Voter { return c.voter }
 
+// Upstreams returns what takes announcements of upstreams.
+func (c *Control) Upstreams() *upstreams.Upstreams { return c.upstreams }
+
 // Address returns where the voter listens.
 func (c *Control) Address() string { return c.listener.Addr().String() }
 
--- /dev/null
+++ b/internal/daemon/control/recall.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"time"
+
+	"wasabideal/internal/disk/folder"
+	"wasabideal/internal/upstream/directory"
+)
+
+const (
+	upstreamsFile = "upstreams.json"
+	// forgetUpstream is how long silent and withdrawn upstreams are remembered:
+	// longer than any flow may stay open.
+	forgetUpstream = 90 * time.Second
+	// recallEvery is the least time between two writes of the upstreams known.
+	recallEvery = time.Second
+	// agePace is how often announcements are looked at for silence.
+	agePace = 200 * time.Millisecond
+)
+
+// keepUpstreams ages announcements, and writes them to the disk when they
+// change, so that a restart of all voters at once does not leave the balancers
+// without upstreams until each has announced itself again.
+func (c *Control) keepUpstreams(ctx context.Context) {
+	t := time.NewTicker(agePace)
+	defer t.Stop()
+	var written uint64
+	var last time.Time
+	var failing bool
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := c.settings.Clock()
+		c.feed.SetMembers(c.voter.Members())
+		c.feed.Tick(now)
+		notices, version := c.feed.Notices(now)
+		if version == written || now.Sub(last) < recallEvery {
+			continue
+		}
+		last = now
+		err := c.writeUpstreams(notices)
+		if err == nil {
+			written = version
+		} else if !failing {
+			c.log.Warn("upstreams are not on disk", "Error", err)
+		}
+		failing = err != nil
+	}
+}
+
+func (c *Control) writeUpstreams(notices []directory.Notice) error {
+	b, err := json.Marshal(notices)
+	if err != nil {
+		return err
+	}
+	return folder.Replace(c.folder, upstreamsFile, b)
+}
+
+// recallUpstreams takes what an earlier life of this process had heard. It is
+// as good as an announcement of just now, and ends like one.
+func (c *Control) recallUpstreams() {
+	b, err := c.folder.ReadFile(upstreamsFile)
+	if errors.Is(err, fs.ErrNotExist) {
+		return
+	}
+	var notices []directory.Notice
+	if err == nil {
+		err = json.Unmarshal(b, &notices)
+	}
+	if err != nil {
+		c.log.Warn("upstreams on disk cannot be read", "Error", err)
+		return
+	}
+	now := c.settings.Clock()
+	for _, n := range notices {
+		if !n.Silent && !n.Replaced {
+			c.feed.Announce(now, n.Upstream, n.Cold)
+		}
+	}
+	c.log.Info("upstreams recalled", "Count", len(notices))
+}
--- /dev/null
+++ b/internal/daemon/cookie/cookie.go
@@ -0,0 +1,282 @@
+package cookie
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"wasabideal/internal/control/feed"
+	"wasabideal/internal/cookie/follower"
+	"wasabideal/internal/cookie/router"
+	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/upstream/view"
+	"wasabideal/internal/wire/datagram"
+)
+
+// Codec translates between datagrams of the network fabric and packets.
+type Codec interface {
+	// Decode reads a datagram, or fails where it is malformed.
+	Decode(data []byte) (router.Packet, error)
+	// Forward appends the datagram that carries a received one to an upstream.
+	Forward(buffer, data []byte, v router.Verdict) []byte
+	// Reset appends the datagram that resets a packet's flow, and returns where
+	// it goes.
+	Reset(buffer []byte, p router.Packet) (netip.AddrPort, []byte)
+}
+
+const (
+	// contactLease is how long a voter's word on who is alive holds: two of the
+	// follower's questions that got no answer.
+	contactLease = 3 * time.Second
+	// inheritFor is three announcements' time, in which a voter that restarted
+	// hears all upstreams that are alive.
+	inheritFor = 4 * time.Second
+	// forgetAfter is how long a silent upstream is remembered, for flows that
+	// may still be open there.
+	forgetAfter = 90 * time.Second
+	// tick is the pace of the router's housekeeping.
+	tick = 100 * time.Millisecond
+	// quietStop is how long a balancer that stops waits without a packet, and
+	// leaveFirst the least time it goes on: the fabric takes two failed checks,
+	// half a second apart, to send its packets elsewhere.
+	quietStop  = 600 * time.Millisecond
+	leaveFirst = 1500 * time.Millisecond
+	// forwardHead is room for what a forwarded datagram carries beside the packet.
+	forwardHead = 64
+)
+
+// Settings of the process.
+type Settings struct {
+	// Fabric is the address for datagrams.
+	Fabric string
+	// Sources are call addresses of some voters.
+	Sources []string
+	Zone    string
+	Token   string
+	// StopTimeout bounds a planned stop.
+	StopTimeout time.Duration
+	Codec       Codec
+	// Clock is where this edge reads the time.
+	Clock func() time.Time
+}
+
+// Balancer is a running process.
+type Balancer struct {
+	settings Settings
+	log      hclog.Logger
+	socket   *datagram.Socket
+	follower *follower.Follower
+	mu       sync.Mutex
+	router   *router.Router
+	view     *view.View
+	held     configuration.Configuration
+	// outdated says that the router's upstreams must be drawn from the view anew.
+	outdated   bool
+	drawn      time.Time
+	lastPacket time.Time
+	buffers    [][]byte
+	used       int
+	leaving    atomic.Bool
+	ready      atomic.Bool
+	reports    reports
+	ctx        context.Context
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+}
+
+// Listen opens the socket.
+func Listen(s Settings, log hclog.Logger) (*Balancer, error) {
+	socket, err := datagram.Listen(s.Fabric)
+	if err != nil {
+		return nil, fmt.Errorf("listen on Fabric: %w", err)
+	}
+	b := &Balancer{
+		settings: s, log: log, socket: socket,
+		view: view.New(view.Settings{ContactLease: contactLease, InheritFor: inheritFor, ForgetAfter: forgetAfter}),
+	}
+	b.router = router.New(router.Settings{Zone: s.Zone, Suspected: b.suspected})
+	b.follower = follower.New(s.Token, s.Clock, b, log)
+	return b, nil
+}
+
+// Address returns where the balancer takes datagrams.
+func (b *Balancer) Address() netip.AddrPort { return b.socket.Address() }
+
+// Start begins to serve and returns at once.
+func (b *Balancer) Start(ctx context.Context) {
+	b.ctx, b.cancel = context.WithCancel(ctx)
+	b.follower.Start(b.ctx, b.settings.Sources)
+	b.goRun(b.read)
+	b.goRun(b.keepTime)
+}
+
+func (b *Balancer) goRun(f func()) {
+	b.running.Add(1)
+	go func() {
+		defer b.running.Done()
+		f()
+	}()
+}
+
+// Name tells of voters that the settings name now.
+func (b *Balancer) Name(sources []string) { b.follower.Name(sources) }
+
+// Ready says that the balancer can place flows and does not leave.
+func (b *Balancer) Ready() bool { return b.ready.Load() && !b.leaving.Load() }
+
+// Held returns the configuration in force.
+func (b *Balancer) Held() configuration.Configuration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held
+}
+
+// Answered takes a voter's answer.
+func (b *Balancer) Answered(address string, c configuration.Configuration, a feed.Answer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.settings.Clock()
+	b.view.Take(now, address, a.Life, a.Notices)
+	b.outdated = b.outdated || len(a.Notices) > 0
+	if c.Revision > b.held.Revision {
+		if err := b.router.Configure(c); err != nil {
+			b.log.Error("configuration refused", "Error", err)
+			return
+		}
+		b.held = c
+		b.log.Info("configuration in force", "Revision", c.Revision, "From", address, "Routes", len(c.Routes))
+	}
+	b.refresh(now)
+}
+
+// refreshEvery bounds how late the router learns that nobody vouches for an
+// upstream any more; news are taken over at once.
+const refreshEvery = 500 * time.Millisecond
+
+// refresh gives the router the upstreams as the voters tell of them; the lock is held.
+func (b *Balancer) refresh(now time.Time) {
+	if !b.outdated && now.Sub(b.drawn) < refreshEvery {
+		return
+	}
+	b.outdated, b.drawn = false, now
+	targets := b.view.Targets(now)
+	b.router.SetTargets(targets)
+	ready := b.held.Revision > 0 && len(targets) > 0
+	if ready != b.ready.Swap(ready) {
+		b.log.Info("readiness", "Ready", ready, "Revision", b.held.Revision, "Upstreams", len(targets))
+	}
+}
+
+func (b *Balancer) suspected(t view.Target) {
+	b.log.Info("upstream suspected", "Incarnation", fmt.Sprintf("%x", t.Incarnation), "Service", t.Service,
+		"Address", t.Address.String(), "Live", t.Live)
+}
+
+func (b *Balancer) keepTime() {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-b.ctx.Done():
+			return
+		case <-t.C:
+			b.mu.Lock()
+			now := b.settings.Clock()
+			b.router.Tick(now)
+			b.refresh(now)
+			b.reports.flush(now, b.log)
+			b.mu.Unlock()
+		}
+	}
+}
+
+// read takes datagrams in batches and decides on each batch under one lock.
+func (b *Balancer) read() {
+	for {
+		n, err := b.socket.Read()
+		if err != nil {
+			if b.ctx.Err() == nil {
+				b.log.Error("datagrams cannot be read", "Error", err)
+			}
+			return
+		}
+		b.mu.Lock()
+		now := b.settings.Clock()
+		b.lastPacket = now
+		b.used = 0
+		for i := range n {
+			_, data := b.socket.Datagram(i)
+			b.handle(now, data)
+		}
+		if err := b.socket.Flush(); err != nil {
+			b.reports.lost(err)
+		}
+		b.mu.Unlock()
+	}
+}
+
+func (b *Balancer) handle(now time.Time, data []byte) {
+	p, err := b.settings.Codec.Decode(data)
+	if err != nil {
+		b.reports.malformed(err)
+		return
+	}
+	v := b.router.Route(now, p)
+	b.reports.note(now, b.log, p, v)
+	switch v.Action {
+	case router.Forward:
+		*b.buffer() = b.settings.Codec.Forward((*b.buffer())[:0], data, v)
+		b.socket.Queue(v.To, *b.buffer())
+		b.used++
+	case router.Reset:
+		to, out := b.settings.Codec.Reset((*b.buffer())[:0], p)
+		*b.buffer() = out
+		b.socket.Queue(to, out)
+		b.used++
+	case router.Drop:
+	}
+}
+
+// buffer returns the next free one of this batch.
+func (b *Balancer) buffer() *[]byte {
+	if b.used == len(b.buffers) {
+		b.buffers = append(b.buffers, make([]byte, 0, datagram.Size+forwardHead))
+	}
+	return &b.buffers[b.used]
+}
+
+// Stop ends the process in the planned way: readiness fails first, and packets
+// are forwarded until the fabric sends none any more.
+func (b *Balancer) Stop() {
+	b.leaving.Store(true)
+	begun := b.settings.Clock()
+	b.log.Info("leaving", "Timeout", b.settings.StopTimeout.String())
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for range t.C {
+		now := b.settings.Clock()
+		if spent := now.Sub(begun); spent >= b.settings.StopTimeout || spent >= leaveFirst && b.quiet(now) {
+			break
+		}
+	}
+	b.Kill()
+}
+
+func (b *Balancer) quiet(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Sub(b.lastPacket) >= quietStop
+}
+
+// Kill ends the process at once.
+func (b *Balancer) Kill() {
+	b.cancel()
+	b.socket.Close()
+	b.follower.Wait()
+	b.running.Wait()
+}
--- /dev/null
+++ b/internal/daemon/cookie/reports.go
@@ -0,0 +1,77 @@
+package cookie
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"wasabideal/internal/cookie/router"
+)
+
+const (
+	// reportEvery is the time between two summaries of what was not forwarded.
+	reportEvery = time.Second
+	// linesPerReport bounds the single decisions that are logged in that time,
+	// so that a storm of packets cannot fill the log or delay packets.
+	linesPerReport = 20
+)
+
+// reports logs decisions one by one up to a bound, and counts the rest.
+type reports struct {
+	since    time.Time
+	lines    int
+	counts   map[router.Reason]int
+	bad      int
+	badError error
+	sendLost int
+	sendErr  error
+}
+
+// note logs a decision on an opening, or one that did not forward a packet.
+func (r *reports) note(now time.Time, log hclog.Logger, p router.Packet, v router.Verdict) {
+	if v.Reason == router.Known {
+		return
+	}
+	if r.counts == nil {
+		r.counts = map[router.Reason]int{}
+	}
+	r.counts[v.Reason]++
+	if r.lines >= linesPerReport {
+		return
+	}
+	r.lines++
+	log.Info("flow", "Caller", p.Caller.String(), "Address", p.Address.String(), "Copy", p.Copy,
+		"Action", v.Action.String(), "Reason", v.Reason.String(), "Cookie", p.Cookie,
+		"To", v.To.String(), "Revision", v.Revision)
+}
+
+func (r *reports) malformed(err error) {
+	r.bad++
+	r.badError = err
+}
+
+func (r *reports) lost(err error) {
+	r.sendLost++
+	r.sendErr = err
+}
+
+// flush logs the summary when it is due.
+func (r *reports) flush(now time.Time, log hclog.Logger) {
+	if now.Sub(r.since) < reportEvery {
+		return
+	}
+	if len(r.counts) > 0 {
+		args := make([]any, 0, 2*len(r.counts))
+		for reason, n := range r.counts {
+			args = append(args, reason.String(), n)
+		}
+		log.Info("decisions", args...)
+	}
+	if r.bad > 0 {
+		log.Warn("datagrams malformed", "Count", r.bad, "Last", r.badError)
+	}
+	if r.sendLost > 0 {
+		log.Warn("datagrams not sent", "Count", r.sendLost, "Last", r.sendErr)
+	}
+	*r = reports{since: now}
+}
--- a/internal/disk/wal/wal.go
+++ b/internal/disk/wal/wal.go
@@ -49,9 +49,13 @@
 
 // record is the body of one log record.
 type record struct {
-	_     struct{} `cbor:",toarray"`
-	Vote  *agreement.Vote
-	Entry *agreement.Entry
+	_    struct{} `cbor:",toarray"`
+	Vote *agreement.Vote
+	// Entries are those of one write. They share a record: of two records in
+	// one write a loss of power may keep the second and tear the first, which
+	// could not be told from damage.
+	Entries []agreement.Entry
+	Commit  uint64
 }
 
 // Wal is an open log; one goroutine owns it.
@@ -113,7 +117,7 @@
 	}
 	var b []byte
 	var err error
-	if b, err = appendRecords(b, p.Vote, p.Entries); err != nil {
+	if b, err = appendRecord(b, p); err != nil {
 		return w.fail("encode", err)
 	}
 	if len(b) == 0 {
@@ -139,7 +143,7 @@
 	if err := w.replace(snapFile, appendFramed(nil, body)); err != nil {
 		return err
 	}
-	b, err := appendRecords(nil, p.Vote, p.Entries)
+	b, err := appendRecord(nil, p)
 	if err != nil {
 		return w.fail("encode", err)
 	}
@@ -161,22 +165,15 @@
 	return nil
 }
 
-func appendRecords(b []byte, vote *agreement.Vote, entries []agreement.Entry) ([]byte, error) {
-	var records []record
-	if vote != nil {
-		records = append(records, record{Vote: vote})
-	}
-	for i := range entries {
-		records = append(records, record{Entry: &entries[i]})
-	}
-	for _, r := range records {
-		body, err := cbor.Marshal(r)
-		if err != nil {
-			return nil, fmt.Errorf("encode record: %w", err)
-		}
-		b = appendFramed(b, body)
+func appendRecord(b []byte, p agreement.Persist) ([]byte, error) {
+	if p.Vote == nil && len(p.Entries) == 0 && p.Commit == 0 {
+		return b, nil
+	}
+	body, err := cbor.Marshal(record{Vote: p.Vote, Entries: p.Entries, Commit: p.Commit})
+	if err != nil {
+		return nil, fmt.Errorf("encode record: %w", err)
 	}
-	return b, nil
+	return appendFramed(b, body), nil
 }
 
 // appendFramed writes length, sum of the body, sum of those two, and the body.
@@ -265,8 +262,14 @@
 	if r.Vote != nil {
 		state.Vote = *r.Vote
 	}
-	if r.Entry == nil || r.Entry.Index <= state.Snapshot.Index {
-		return nil
+	state.Commit = max(state.Commit, r.Commit)
+	for _, e := range r.Entries {
+		if e.Index <= state.Snapshot.Index {
+			continue
+		}
+		if err := state.Put(e); err != nil {
+			return err
+		}
 	}
-	return state.Put(*r.Entry)
+	return nil
 }
--- a/internal/model/configuration/configuration.go
+++ b/internal/model/configuration/configuration.go
@@ -27,6 +27,15 @@
 	Repeatable bool
 	// Priority orders services under overload; a higher one is served first.
 	Priority int
+	// HealthPath is where an upstream of the service answers health checks over HTTP.
+	HealthPath string `cbor:",omitempty"`
+	// MaxFlows is the number of flows that one upstream holds; 0 sets no bound.
+	MaxFlows int `cbor:",omitempty"`
+	// Application is the protocol inside the flows as the operator names it; the
+	// balancer does not read it.
+	Application string `cbor:",omitempty"`
+	// TLS says that the flows are encrypted between the two ends.
+	TLS bool `cbor:",omitempty"`
 }
 
 // Preset is a named set of limits; exactly one is in force.
@@ -47,12 +56,22 @@
 	Closed []string
 }
 
+// OrdinaryPreset returns the preset of a system for which no operator set one;
+// its limits are those of the shipped example files.
+func OrdinaryPreset() Preset {
+	return Preset{Name: "ordinary", SpillPercent: 25, SlotLimit: 2, QueueLimit: 64, RetryPercent: 10, ColdStartSeconds: 3}
+}
+
 // Configuration is the whole of what operators set, at one revision.
 type Configuration struct {
 	Revision uint64
 	InForce  string
 	Services []Service
 	Presets  []Preset
+	// Routes are the addresses that new flows may name, with the services behind them.
+	Routes []Route `cbor:",omitempty"`
+	// Limits bound what callers may send.
+	Limits Limits `cbor:",omitzero"`
 }
 
 // InvalidError says which key of a configuration is wrong and what is allowed.
@@ -103,7 +122,10 @@
 	if err := c.checkPresets(); err != nil {
 		return err
 	}
-	return c.checkServices()
+	if err := c.checkServices(); err != nil {
+		return err
+	}
+	return c.checkRoutes()
 }
 
 func (c Configuration) checkPresets() error {
--- /dev/null
+++ b/internal/upstream/directory/directory.go
@@ -0,0 +1,149 @@
+package directory
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"wasabideal/internal/model/upstream"
+)
+
+// Settings bound a directory.
+type Settings struct {
+	// SilentAfter is the time without an announcement after which an upstream
+	// counts as silent.
+	SilentAfter time.Duration
+	// ForgetAfter is how long silent and withdrawn upstreams are remembered.
+	ForgetAfter time.Duration
+}
+
+// Notice is what a directory tells of one upstream.
+type Notice struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream upstream.Upstream
+	// Cold is how much longer the upstream is slow after its start.
+	Cold time.Duration
+	// Silent says that announcements are overdue here.
+	Silent bool
+	// Replaced says that another incarnation was heard at the address since.
+	Replaced bool
+	// Age is the time since the last announcement.
+	Age time.Duration
+}
+
+type entry struct {
+	upstream.Upstream
+	coldUntil time.Time
+	heard     time.Time
+	silent    bool
+	replaced  bool
+	// changed is the directory's version when others last had to be told.
+	changed uint64
+}
+
+// Directory is the announcements that one process heard; one goroutine owns it.
+type Directory struct {
+	settings Settings
+	entries  map[uint64]*entry
+	holders  map[netip.AddrPort]uint64
+	version  uint64
+}
+
+// New returns an empty directory.
+func New(s Settings) *Directory {
+	return &Directory{settings: s, entries: map[uint64]*entry{}, holders: map[netip.AddrPort]uint64{}}
+}
+
+// Version rises whenever Since has news.
+func (d *Directory) Version() uint64 { return d.version }
+
+// Announce takes an announcement, and reports whether it is news to others and
+// whether it is newer than what was known; late and repeated ones are not.
+func (d *Directory) Announce(now time.Time, u upstream.Upstream, cold time.Duration) (news, newer bool) {
+	old := d.entries[u.Incarnation]
+	if old != nil && (old.State == upstream.Withdrawn || u.State != upstream.Withdrawn && u.Sequence <= old.Sequence) {
+		return false, false
+	}
+	if old != nil && u.State == upstream.Withdrawn {
+		// A departure may come without a description of the upstream.
+		u = old.WithState(upstream.Withdrawn)
+	}
+	e := &entry{Upstream: u, coldUntil: now.Add(cold), heard: now}
+	d.entries[u.Incarnation] = e
+	news = old == nil || old.silent || old.replaced || !sameBut(old.Upstream, u)
+	if !news {
+		e.changed = old.changed
+	}
+	if d.hold(u) || news {
+		d.tell(e)
+		return true, true
+	}
+	return false, true
+}
+
+// sameBut says that two announcements differ in their sequence only.
+func sameBut(a, b upstream.Upstream) bool {
+	a.Sequence = b.Sequence
+	return a == b
+}
+
+// hold makes the upstream the holder of its address, and says whether another was.
+func (d *Directory) hold(u upstream.Upstream) bool {
+	if u.State == upstream.Withdrawn || !u.Address.IsValid() {
+		return false
+	}
+	before, held := d.holders[u.Address]
+	d.holders[u.Address] = u.Incarnation
+	if !held || before == u.Incarnation {
+		return false
+	}
+	if o := d.entries[before]; o != nil && o.State != upstream.Withdrawn {
+		o.replaced = true
+		d.tell(o)
+	}
+	return true
+}
+
+func (d *Directory) tell(e *entry) {
+	d.version++
+	e.changed = d.version
+}
+
+// Tick notes silence and forgets, and reports whether others must be told.
+func (d *Directory) Tick(now time.Time) bool {
+	before := d.version
+	for id, e := range d.entries {
+		age := now.Sub(e.heard)
+		if age > d.settings.ForgetAfter {
+			delete(d.entries, id)
+			if d.holders[e.Address] == id {
+				delete(d.holders, e.Address)
+			}
+			continue
+		}
+		if !e.silent && e.State != upstream.Withdrawn && age > d.settings.SilentAfter {
+			e.silent = true
+			d.tell(e)
+		}
+	}
+	return d.version != before
+}
+
+// Since returns what is news after a version, in the order of incarnations.
+func (d *Directory) Since(now time.Time, version uint64) []Notice {
+	var out []Notice
+	for _, e := range d.entries {
+		if e.changed > version {
+			out = append(out, e.notice(now))
+		}
+	}
+	slices.SortFunc(out, func(a, b Notice) int { return cmp.Compare(a.Upstream.Incarnation, b.Upstream.Incarnation) })
+	return out
+}
+
+func (e *entry) notice(now time.Time) Notice {
+	return Notice{
+		Upstream: e.Upstream, Cold: max(e.coldUntil.Sub(now), 0), Silent: e.silent, Replaced: e.replaced, Age: now.Sub(e.heard),
+	}
+}
--- /dev/null
+++ b/internal/upstream/view/view.go
@@ -0,0 +1,153 @@
+package view
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/upstream/directory"
+)
+
+// Settings bound a view.
+type Settings struct {
+	// ContactLease is how long a voter's word on who is alive holds without an
+	// answer from it.
+	ContactLease time.Duration
+	// InheritFor is how long upstreams count as alive that only a voter's life
+	// before its restart has heard.
+	InheritFor time.Duration
+	// ForgetAfter is how long an upstream is remembered that no voter tells of.
+	ForgetAfter time.Duration
+}
+
+// Target is one upstream as the balancer sees it.
+type Target struct {
+	upstream.Upstream
+	ColdUntil time.Time
+	// Live says that some voter heard it lately.
+	Live bool
+	// Ended says that this incarnation is certainly over.
+	Ended bool
+}
+
+type told struct {
+	directory.Notice
+	at time.Time
+	// until ends a notice that a restarted voter no longer vouches for; zero
+	// where it still does.
+	until time.Time
+}
+
+type source struct {
+	life    uint64
+	contact time.Time
+	notices map[uint64]told
+}
+
+// View is what one balancer was told; one goroutine owns it.
+type View struct {
+	settings Settings
+	sources  map[string]*source
+}
+
+// New returns an empty view.
+func New(s Settings) *View { return &View{settings: s, sources: map[string]*source{}} }
+
+// Take notes a voter's answer; life tells its restarts apart. A voter that
+// restarted empty takes nothing away: upstreams that it has not heard yet stay
+// for a while, and others may have heard them.
+func (v *View) Take(now time.Time, name string, life uint64, notices []directory.Notice) {
+	s := v.sources[name]
+	if s == nil {
+		s = &source{life: life, notices: map[uint64]told{}}
+		v.sources[name] = s
+	}
+	if s.life != life {
+		s.life = life
+		for id, t := range s.notices {
+			t.until = now.Add(v.settings.InheritFor)
+			s.notices[id] = t
+		}
+	}
+	s.contact = now
+	for _, n := range notices {
+		s.notices[n.Upstream.Incarnation] = told{Notice: n, at: now}
+	}
+	for id, t := range s.notices {
+		if t.gone() && now.Sub(t.at) > v.settings.ForgetAfter {
+			delete(s.notices, id)
+		}
+	}
+}
+
+// Contact notes that a voter answered without news.
+func (v *View) Contact(now time.Time, name string) {
+	if s := v.sources[name]; s != nil {
+		s.contact = now
+	}
+}
+
+func (t told) gone() bool {
+	return t.Silent || t.Replaced || t.Upstream.State == upstream.Withdrawn || !t.until.IsZero()
+}
+
+// joined collects the voters' words on one upstream.
+type joined struct {
+	best     told
+	live     bool
+	vouched  bool
+	replaced bool
+	ended    bool
+}
+
+// Targets returns all upstreams known, in the order of incarnations.
+func (v *View) Targets(now time.Time) []Target {
+	all := map[uint64]*joined{}
+	anyFresh := false
+	for _, s := range v.sources {
+		anyFresh = anyFresh || v.fresh(now, s)
+	}
+	for _, s := range v.sources {
+		fresh := v.fresh(now, s) || !anyFresh
+		for id, t := range s.notices {
+			j := all[id]
+			if j == nil {
+				j = &joined{}
+				all[id] = j
+			}
+			j.add(now, t, fresh)
+		}
+	}
+	out := make([]Target, 0, len(all))
+	for _, j := range all {
+		out = append(out, j.target())
+	}
+	slices.SortFunc(out, func(a, b Target) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return out
+}
+
+func (v *View) fresh(now time.Time, s *source) bool {
+	return now.Sub(s.contact) <= v.settings.ContactLease
+}
+
+func (j *joined) add(now time.Time, t told, fresh bool) {
+	withdrawn := t.Upstream.State == upstream.Withdrawn
+	if !j.ended && (j.best.at.IsZero() || withdrawn || t.Upstream.Sequence > j.best.Upstream.Sequence) {
+		j.best = t
+	}
+	j.ended = j.ended || withdrawn
+	j.replaced = j.replaced || t.Replaced
+	current := !t.Silent && !t.Replaced && (t.until.IsZero() || now.Before(t.until))
+	j.vouched = j.vouched || current
+	j.live = j.live || current && fresh
+}
+
+func (j *joined) target() Target {
+	return Target{
+		Upstream: j.best.Upstream, ColdUntil: j.best.at.Add(j.best.Cold), Live: j.live && !j.ended,
+		// An address that another incarnation took, while nobody hears this
+		// one, ends it: its flows can be reset.
+		Ended: j.ended || j.replaced && !j.vouched,
+	}
+}
--- a/internal/daemon/balancer/socket.go
+++ b/internal/wire/datagram/datagram.go
@@ -1,25 +1,23 @@
-package balancer
+package datagram
 
 import (
 	"net"
 	"net/netip"
-	"sync"
-	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"golang.org/x/net/ipv4"
 )
 
 const (
-	batchSize    = 64
-	datagramSize = 2048
+	batchSize = 64
+	// Size is the longest datagram that is read whole.
+	Size         = 2048
 	socketBuffer = 4 << 20
 	// addressCache bounds the remembered socket addresses.
 	addressCache = 4096
 )
 
-// socket reads and writes UDP datagrams in batches.
-type socket struct {
+// Socket reads and writes UDP datagrams in batches.
+type Socket struct {
 	conn    *net.UDPConn
 	batch   *ipv4.PacketConn
 	in, out []ipv4.Message
@@ -27,7 +25,8 @@
 	known   map[netip.AddrPort]*net.UDPAddr
 }
 
-func listenUDP(address string) (*socket, error) {
+// Listen opens a socket at an IPv4 address and port.
+func Listen(address string) (*Socket, error) {
 	a, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, err
@@ -39,28 +38,32 @@
 	// The kernel may grant less; more loss under bursts is then all that follows.
 	_ = c.SetReadBuffer(socketBuffer)
 	_ = c.SetWriteBuffer(socketBuffer)
-	s := &socket{conn: c, batch: ipv4.NewPacketConn(c), known: map[netip.AddrPort]*net.UDPAddr{}}
+	s := &Socket{conn: c, batch: ipv4.NewPacketConn(c), known: map[netip.AddrPort]*net.UDPAddr{}}
 	s.in = make([]ipv4.Message, batchSize)
 	for i := range s.in {
-		s.in[i].Buffers = [][]byte{make([]byte, datagramSize)}
+		s.in[i].Buffers = [][]byte{make([]byte, Size)}
 	}
 	return s, nil
 }
 
-func (s *socket) address() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+// Address returns where the socket listens.
+func (s *Socket) Address() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
-func (s *socket) close() { _ = s.conn.Close() }
+// Close ends pending and later reads.
+func (s *Socket) Close() { _ = s.conn.Close() }
 
-func (s *socket) read() (int, error) { return s.batch.ReadBatch(s.in, 0) }
+// Read waits for datagrams and returns how many there are.
+func (s *Socket) Read() (int, error) { return s.batch.ReadBatch(s.in, 0) }
 
-func (s *socket) datagram(i int) (netip.AddrPort, []byte) {
+// Datagram returns one of those read, valid until the next Read.
+func (s *Socket) Datagram(i int) (netip.AddrPort, []byte) {
 	m := &s.in[i]
 	from := m.Addr.(*net.UDPAddr).AddrPort()
 	return netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), m.Buffers[0][:m.N]
 }
 
-// queue keeps a datagram until flush; data must stay unchanged until then.
-func (s *socket) queue(to netip.AddrPort, data []byte) {
+// Queue keeps a datagram until Flush; data must stay unchanged until then.
+func (s *Socket) Queue(to netip.AddrPort, data []byte) {
 	if s.queued == len(s.out) {
 		s.out = append(s.out, ipv4.Message{Buffers: [][]byte{nil}})
 	}
@@ -70,7 +73,7 @@
 	s.queued++
 }
 
-func (s *socket) resolve(to netip.AddrPort) *net.UDPAddr {
+func (s *Socket) resolve(to netip.AddrPort) *net.UDPAddr {
 	if a := s.known[to]; a != nil {
 		return a
 	}
@@ -82,8 +85,8 @@
 	return a
 }
 
-// flush sends what is queued; a refused datagram is skipped, as if lost on the way.
-func (s *socket) flush() error {
+// Flush sends what is queued; a refused datagram is skipped, as if lost on the way.
+func (s *Socket) Flush() error {
 	var failed error
 	for at := 0; at < s.queued; {
 		n, err := s.batch.WriteBatch(s.out[at:s.queued], 0)
@@ -96,23 +99,3 @@
 	s.queued = 0
 	return failed
 }
-
-// limiter logs at most once a second and counts the rest.
-type limiter struct {
-	mu      sync.Mutex
-	last    time.Time
-	skipped int
-}
-
-// log reports whether the line was written.
-func (l *limiter) log(now time.Time, log hclog.Logger, text string, err error) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.last) < time.Second {
-		l.skipped++
-		return false
-	}
-	log.Warn(text, "Error", err, "Skipped", l.skipped)
-	l.last, l.skipped = now, 0
-	return true
-}
--- /dev/null
+++ b/internal/wire/datagram/doc.go
@@ -0,0 +1,2 @@
+// Package datagram reads and writes UDP datagrams in batches.
+package datagram
