--- a/internal/control/agreement/agreement.go
+++ b/internal/control/agreement/agreement.go
@@ -301,7 +301,7 @@
 }
 
 func (a *Agreement) send(m Message) {
-	m.From = a.settings.Self.Id
+	m.From, m.Address = a.settings.Self.Id, a.settings.Self.Address
 	if m.Term == 0 {
 		m.Term = a.vote.Term
 	}
@@ -311,7 +311,7 @@
 // persist makes a vote or entries durable, and sends messages only after that.
 func (a *Agreement) persist(p Persist) {
 	for i := range p.Then {
-		p.Then[i].From = a.settings.Self.Id
+		p.Then[i].From, p.Then[i].Address = a.settings.Self.Id, a.settings.Self.Address
 		p.Then[i].Term = a.vote.Term
 	}
 	a.effects = append(a.effects, Effect{Persist: &p})
--- a/internal/control/agreement/message.go
+++ b/internal/control/agreement/message.go
@@ -36,6 +36,9 @@
 	Snapshot *Snapshot
 	Voter    Voter
 	Voters   []Voter
+	// Address is where the sender takes answers: a voter with an empty disk
+	// knows no list of voters in which to look it up.
+	Address string
 	// Sent is the leader's time of sending in nanoseconds, echoed by answers.
 	Sent int64
 }
--- a/internal/control/voter/outbox.go
+++ b/internal/control/voter/outbox.go
@@ -53,7 +53,10 @@
 			return x.Address
 		}
 	}
-	return v.agreement.AddressOf(to)
+	if address := v.agreement.AddressOf(to); address != "" {
+		return address
+	}
+	return v.senders[to]
 }
 
 func (v *Voter) deliver(ctx context.Context, address string, o *outbox) {
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -80,9 +80,11 @@
 	waiting   map[uint64]waiter
 	keeper    *keeper.Keeper
 	outboxes  map[string]*outbox
-	events    []agreement.Event
-	ctx       context.Context
-	outgoing  sync.WaitGroup
+	// senders are where those listen that sent messages, by their ids.
+	senders  map[string]string
+	events   []agreement.Event
+	ctx      context.Context
+	outgoing sync.WaitGroup
 	// failedAt is when the disk refused a write, zero while it works.
 	failedAt time.Time
 	// marked is the accepted index that the disk knows of, markedAt when it was told.
@@ -104,7 +106,7 @@
 func New(s Settings, w *wal.Wal, d agreement.Durable, trail *audit.Trail, log hclog.Logger) (*Voter, error) {
 	v := &Voter{
 		settings: s, log: log, wal: w, ledger: ledger.New(), trail: trail,
-		waiting: map[uint64]waiter{}, outboxes: map[string]*outbox{},
+		waiting: map[uint64]waiter{}, outboxes: map[string]*outbox{}, senders: map[string]string{},
 	}
 	v.source = source.New(v.current)
 	v.agreement = agreement.New(s.Agreement, d, s.Clock())
@@ -175,6 +177,9 @@
 type empty struct{}
 
 func (v *Voter) message(_ context.Context, m agreement.Message) (empty, error) {
+	v.mu.Lock()
+	v.senders[m.From] = m.Address
+	v.mu.Unlock()
 	v.step(agreement.Event{Message: &m})
 	return empty{}, nil
 }
