--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -20,9 +20,10 @@
 	// grace is the time beyond hold after which an answer is given up: several
 	// round trips to the farthest zone, and a slow voter's turn.
 	grace = 700 * time.Millisecond
-	// retryAfter is the pause after a failed call, retryMost its longest.
-	retryAfter = 100 * time.Millisecond
-	retryMost  = time.Second
+	// retryAfter is the pause after a failed call, retryMost its longest: a
+	// balancer that restarted has nothing to do until a voter answers.
+	retryAfter = 25 * time.Millisecond
+	retryMost  = 200 * time.Millisecond
 	// forgetAfter is how long a voter that no other names any more is asked in vain.
 	forgetAfter = 30 * time.Second
 )
--- a/internal/wire/rpc/client.go
+++ b/internal/wire/rpc/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"storj.io/drpc/drpcconn"
@@ -26,6 +27,12 @@
 // Unwrap returns the cause.
 func (e *LostError) Unwrap() error { return e.Cause }
 
+// dialTimeout is how long a connection may take to open. A VM without power does
+// not answer, and the kernel asks again after a second only: a caller that waited
+// for that missed a voter that was back after a third of a second. Connections
+// between zones open within some ms.
+const dialTimeout = 250 * time.Millisecond
+
 // Client calls one address, one call at a time.
 //
 // A call that its context ends also ends the connection: a link that went
@@ -62,7 +69,7 @@
 			return nil
 		}
 	}
-	var d net.Dialer
+	d := net.Dialer{Timeout: dialTimeout}
 	n, err := d.DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return err
--- a/internal/wire/rpc/rpc_test.go
+++ b/internal/wire/rpc/rpc_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"wasabideal/internal/wire/rpc"
 )
@@ -117,3 +119,40 @@
 		}
 	}
 }
+
+// unanswered returns an address on which connections hang as they do to a VM
+// without power: a listener whose queue is full drops the opening packets.
+func unanswered(t *testing.T) string {
+	s, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(s) })
+	require.NoError(t, unix.Bind(s, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, unix.Listen(s, 0))
+	name, err := unix.Getsockname(s)
+	require.NoError(t, err)
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(name.(*unix.SockaddrInet4).Port))
+	for {
+		c, err := net.DialTimeout("tcp", address, 200*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+}
+
+// Symptom: after a loss of power everywhere, balancers had no configuration for
+// a second although voters had one after a third of a second.
+// Events: a balancer starts before a voter's VM has power and calls it; the
+// opening packet is lost; the VM is back at once; the kernel asks again after a
+// second.
+// Cause: the call waited for the connection until its own deadline.
+func TestConnectionsThatHangAreGivenUpEarly(t *testing.T) {
+	c := rpc.NewClient(unanswered(t), "token")
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	_, err := rpc.Call[string, string](ctx, c, "Echo", "hello")
+	var lost *rpc.LostError
+	require.ErrorAs(t, err, &lost)
+	require.NoError(t, ctx.Err())
+}
