--- a/internal/control/agreement/agreement.go
+++ b/internal/control/agreement/agreement.go
@@ -22,6 +22,8 @@
 	Seed     uint64
 	// EntriesPerMessage bounds an Append.
 	EntriesPerMessage int
+	// Tolerate is the number of disks that may be lost at once.
+	Tolerate int
 	// Meet are further voters to ask for admission.
 	Meet []Voter
 	// Joins forbids founding: the system is known to run already, and an empty
@@ -107,6 +109,7 @@
 
 // New returns a voter with what its disk held.
 func New(s Settings, d Durable, now time.Time) *Agreement {
+	s.Tolerate = max(s.Tolerate, 1)
 	a := &Agreement{
 		settings: s, role: Follower, vote: d.Vote, snapshot: d.Snapshot, entries: d.Entries,
 		voters: d.Snapshot.Voters, votersAt: d.Snapshot.Index,
@@ -336,9 +339,9 @@
 	return lo.Filter(a.voters, func(v Voter, _ int) bool { return v.Id != a.settings.Self.Id })
 }
 
-func (a *Agreement) quorum() int {
-	return lo.CountBy(a.voters, func(v Voter) bool { return !v.Learner })/2 + 1
-}
+func (a *Agreement) quorum() int { return a.quorumOf(len(a.voting())) }
+
+func (a *Agreement) quorumOf(voters int) int { return voters/2 + 1 }
 
 func (a *Agreement) tick(now time.Time) {
 	switch {
@@ -414,15 +417,20 @@
 	}
 }
 
-// Addresses returns where the voters listen that are in the list or said hello,
-// in order, this one included.
-func (a *Agreement) Addresses() []string {
+// helloFor is how long a voter counts as known that is not in the list.
+const helloFor = 30 * time.Second
+
+// Addresses returns where the voters listen that are in the list or said hello
+// lately, in order, this one included.
+func (a *Agreement) Addresses(now time.Time) []string {
 	known := []string{a.settings.Self.Address}
 	for _, v := range a.voters {
 		known = append(known, v.Address)
 	}
 	for _, h := range a.hellos {
-		known = append(known, h.voter.Address)
+		if now.Sub(h.heard) < helloFor {
+			known = append(known, h.voter.Address)
+		}
 	}
 	slices.Sort(known)
 	return slices.Compact(known)
--- /dev/null
+++ b/internal/control/agreement/members_test.go
@@ -0,0 +1,113 @@
+package agreement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/control/agreement"
+	"wasabideal/internal/disk/fault"
+)
+
+// add starts a voter that is not among the founders.
+func (c *cluster) add(name string) *node {
+	n := &node{cluster: c, name: name, disk: fault.New(uint64(len(c.names)))}
+	c.nodes[name] = n
+	n.replaceDisk()
+	c.names = append(c.names, name)
+	return n
+}
+
+func votersOf(c *cluster) []string {
+	var names []string
+	for _, v := range c.leader().state.Status(c.now).Voters {
+		if !v.Learner {
+			names = append(names, v.Name)
+		}
+	}
+	return names
+}
+
+// Symptom: no change was accepted any more although two of three machines ran.
+// Events: one machine after the other is gone for good, and an empty one comes
+// at another address each time.
+// Cause: the voters that were gone stayed in the list and counted towards the
+// majority, two of five at last.
+func TestMachinesThatAreGoneLeaveTheList(t *testing.T) {
+	c := founded(t)
+	for _, step := range []struct{ gone, comes string }{{"v1", "v4"}, {"v2", "v5"}, {"v3", "v6"}} {
+		c.nodes[step.gone].crash()
+		c.run(2 * time.Second)
+		c.add(step.comes)
+		c.run(20 * time.Second)
+		require.NotNil(t, c.leader(), "after %s", step.gone)
+		require.Len(t, votersOf(c), 3)
+		require.NotContains(t, votersOf(c), step.gone)
+	}
+	require.Equal(t, uint64(1), c.leader().ledger.Current().Revision)
+}
+
+// Symptom: voters that had been cut off for some seconds never voted again.
+// Events: two of five are cut off for long; one leaves the list for the losses
+// to be borne; they come back.
+// Cause: a voter that left the list while it was cut off believes in the old
+// one, and asks for votes that nobody gives.
+func TestVotersThatWereCutOffAreTakenInAgain(t *testing.T) {
+	c := founded(t)
+	c.add("v4")
+	c.add("v5")
+	c.run(5 * time.Second)
+	require.Len(t, votersOf(c), 5)
+	lost := c.others(c.leader())[:2]
+	for _, n := range lost {
+		c.cut[n.name] = true
+	}
+	c.run(30 * time.Second)
+	require.Len(t, votersOf(c), 3, "with one loss to bear three are enough")
+	clear(c.cut)
+	c.run(10 * time.Second)
+	require.Len(t, votersOf(c), 5)
+}
+
+// Symptom: a read gave an older configuration than one that was acknowledged.
+// Events: the leader's VM is suspended; the others elect another and accept a
+// change; the first wakes up and is read, its clock having stood still.
+// Cause: its lease seemed to hold, since its clock did not count the time.
+func TestLeaderThatWasSuspendedConfirmsNothing(t *testing.T) {
+	c := founded(t)
+	old := c.leader()
+	asleep := c.now
+	old.up = false
+	c.run(10 * time.Second)
+	require.NotNil(t, c.leader())
+	old.up = true
+	require.True(t, old.state.Current(asleep), "by its own clock the lease holds")
+	require.False(t, old.state.ConfirmedSince(asleep, asleep.Add(time.Millisecond)))
+	now := c.leader()
+	since := c.now
+	require.Eventually(t, func() bool {
+		c.run(tick)
+		return now.state.ConfirmedSince(c.now, since)
+	}, time.Minute, time.Microsecond)
+}
+
+// Symptom: a zone that was cut off during a restart of all VMs had no
+// configuration until the cut ended.
+// Events: a change is accepted; all voters lose power; one comes back alone.
+// Cause: no disk said which entries of the log had been accepted.
+func TestRestartedVoterKnowsWhatWasAccepted(t *testing.T) {
+	c := founded(t)
+	require.NoError(t, c.propose(c.leader(), "kept", 1, "b"))
+	c.run(time.Second)
+	for _, name := range c.names {
+		n := c.nodes[name]
+		n.carryOut([]agreement.Effect{{Persist: &agreement.Persist{Commit: n.state.Commit()}}})
+		n.crash()
+	}
+	alone := c.nodes["v2"]
+	alone.start()
+	alone.carryOut(alone.state.Replay())
+	require.Equal(t, uint64(2), alone.ledger.Current().Revision)
+	require.Nil(t, c.leader())
+}
--- a/internal/control/agreement/replication.go
+++ b/internal/control/agreement/replication.go
@@ -44,7 +44,7 @@
 	for _, v := range a.others() {
 		a.replicate(now, v.Id, a.follow(v.Id))
 	}
-	a.promote(now)
+	a.tendVoters(now)
 }
 
 // installEvery bounds how often a whole snapshot is sent to one follower.
@@ -193,25 +193,20 @@
 	}
 }
 
-// admit takes a voter with an empty disk into the list, one step at a time:
-// its former self leaves, it comes as a learner, and it votes once it has the log.
+// admit takes a voter that is not in the list as a learner; it votes once it
+// has the log.
 func (a *Agreement) admit(now time.Time, v Voter) {
-	if a.changingVoters() || a.commit < a.leaderFrom {
+	if a.changingVoters() || a.commit < a.leaderFrom || a.voter(v.Id).Id != "" {
 		return
 	}
-	old, known := lo.Find(a.voters, func(o Voter) bool { return o.Name == v.Name })
-	switch {
-	case known && old.Id == v.Id:
-	case known:
+	twin, known := lo.Find(a.voters, func(o Voter) bool { return o.Name == v.Name })
+	if known && a.silence(now, twin) < 2*a.settings.Election {
 		// A live voter of that name stays: two processes with one name are a
 		// mistake in the settings, not a replaced disk.
-		if a.silence(now, old) >= 2*a.settings.Election {
-			a.removeVoter(now, old)
-		}
-	default:
-		v.Learner = true
-		a.changeVoters(now, append(slices.Clone(a.voters), v))
+		return
 	}
+	v.Learner = true
+	a.changeVoters(now, append(slices.Clone(a.voters), v))
 }
 
 // silence is how long a follower has not answered.
@@ -227,44 +222,62 @@
 	a.changeVoters(now, lo.Filter(a.voters, func(o Voter, _ int) bool { return o.Id != v.Id }))
 }
 
-// replaceAfter is how many elections' time a voter is silent before one that
-// came newly takes its place. A machine that is gone for good would otherwise
-// count towards the majority for ever, and the next loss would stop all
-// changes; one that comes back after all is taken in again.
-const replaceAfter = 5
+// removeAfter is how many elections' time a voter is silent before it leaves
+// the list.
+const removeAfter = 5
 
-// replaced returns the longest silent voter, where that is long enough.
-func (a *Agreement) replaced(now time.Time) (Voter, bool) {
-	silent := lo.Filter(a.others(), func(v Voter, _ int) bool {
-		return !v.Learner && a.silence(now, v) >= replaceAfter*a.settings.Election
+// removeSilent takes the longest silent voter out of the list, where enough
+// stay. A machine that is gone for good would otherwise count towards the
+// majority for ever, and the next loss would stop all changes; one that comes
+// back after all is taken in again.
+//
+// The list never shrinks below the size at which the losses to be borne leave a
+// majority: two of six voters that are cut off for some seconds must not make
+// two lost disks among the other four fatal.
+func (a *Agreement) removeSilent(now time.Time) {
+	if a.quorumOf(len(a.voting())-1)+a.settings.Tolerate > len(a.voting())-1 {
+		return
+	}
+	silent := lo.Filter(a.voting(), func(v Voter, _ int) bool {
+		return v.Id != a.settings.Self.Id && a.silence(now, v) >= a.patience(v)
 	})
 	if len(silent) == 0 {
-		return Voter{}, false
+		return
+	}
+	a.removeVoter(now, lo.MaxBy(silent, func(x, y Voter) bool { return a.silence(now, x) > a.silence(now, y) }))
+}
+
+// patience is how long a voter may be silent; one whose disk was replaced has a
+// successor of the same name and never speaks again.
+func (a *Agreement) patience(v Voter) time.Duration {
+	if lo.ContainsBy(a.voting(), func(o Voter) bool { return o.Name == v.Name && o.Id != v.Id }) {
+		return a.settings.Election
 	}
-	return lo.MaxBy(silent, func(x, y Voter) bool { return a.silence(now, x) > a.silence(now, y) }), true
+	return removeAfter * a.settings.Election
+}
+
+func (a *Agreement) voting() []Voter {
+	return lo.Filter(a.voters, func(v Voter, _ int) bool { return !v.Learner })
 }
 
 func (a *Agreement) changingVoters() bool { return a.votersAt > a.commit }
 
-// promote gives a vote to a learner that has caught up, after a voter that is
-// gone has left the list for it.
-func (a *Agreement) promote(now time.Time) {
+// tendVoters changes the list by one step where that is due: a learner that has
+// caught up gets its vote before a silent voter leaves, so that the list is
+// never shorter than it must be.
+func (a *Agreement) tendVoters(now time.Time) {
 	if a.changingVoters() || a.commit < a.leaderFrom {
 		return
 	}
 	for i, v := range a.voters {
-		if !v.Learner || a.silence(now, v) >= a.settings.Election || a.follow(v.Id).match < a.commit {
-			continue
-		}
-		if old, ok := a.replaced(now); ok {
-			a.removeVoter(now, old)
+		if v.Learner && a.silence(now, v) < a.settings.Election && a.follow(v.Id).match >= a.commit {
+			vs := slices.Clone(a.voters)
+			vs[i].Learner = false
+			a.changeVoters(now, vs)
 			return
 		}
-		vs := slices.Clone(a.voters)
-		vs[i].Learner = false
-		a.changeVoters(now, vs)
-		return
 	}
+	a.removeSilent(now)
 }
 
 func (a *Agreement) changeVoters(now time.Time, vs []Voter) {
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
 	"wasabideal/internal/configuration/source"
 	"wasabideal/internal/control/agreement"
@@ -92,6 +94,8 @@
 	markedAt time.Time
 	// reads wait for a majority to confirm that this voter leads.
 	reads []*pendingRead
+	// standing is what was logged last of who leads and who votes.
+	standing standing
 	// members are the call addresses of all voters known, for readers that must
 	// not wait for the disk.
 	members atomic.Pointer[[]string]
@@ -200,8 +204,35 @@
 	}
 	v.answerReads()
 	v.compactIfLong()
-	members := v.agreement.Addresses()
+	members := v.agreement.Addresses(v.settings.Clock())
 	v.members.Store(&members)
+	v.logStanding()
+}
+
+// standing is what a voter believes of the voters.
+type standing struct {
+	Role   agreement.Role
+	Leader string
+	Term   uint64
+	Voters string
+}
+
+// logStanding logs when this voter's belief in who leads and who votes changed.
+func (v *Voter) logStanding() {
+	s := v.agreement.Status(v.settings.Clock())
+	names := lo.Map(s.Voters, func(x agreement.Voter, _ int) string {
+		if x.Learner {
+			return x.Name + " (learner)"
+		}
+		return x.Name
+	})
+	now := standing{Role: s.Role, Leader: s.Leader.Name, Term: s.Term, Voters: strings.Join(names, ", ")}
+	if now == v.standing {
+		return
+	}
+	v.standing = now
+	v.log.Info("standing", "Role", now.Role, "Leader", now.Leader, "Term", now.Term, "Voters", now.Voters,
+		"Accepted", s.Commit, "Last", s.Last, "Silence", s.Silence.String())
 }
 
 // Members returns the call addresses of all voters that this one knows, itself
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -48,6 +48,8 @@
 	Clock         func() time.Time
 	// Joins forbids founding a new system: one is known to run.
 	Joins bool
+	// Tolerate is the number of disks that may be lost at once.
+	Tolerate int
 	// FirstElection is the most silence before the first vote after a start; 0
 	// waits for a whole Election.
 	FirstElection time.Duration
@@ -146,6 +148,7 @@
 			Self:     agreement.Voter{Name: s.Name, Id: id, Address: c.listener.Addr().String()},
 			Founders: s.Founders, Heartbeat: s.Heartbeat, Election: s.Election, Seed: seed,
 			EntriesPerMessage: entriesPerMessage, Joins: s.Joins, FirstElection: s.FirstElection,
+			Tolerate: s.Tolerate,
 		},
 		Reopen:     func() (*wal.Wal, agreement.Durable, error) { return wal.Open(c.folder) },
 		Changed:    c.feed.Publish,
--- a/internal/wire/rpc/client.go
+++ b/internal/wire/rpc/client.go
@@ -31,7 +31,7 @@
 // not answer, and the kernel asks again after a second only: a caller that waited
 // for that missed a voter that was back after a third of a second. Connections
 // between zones open within some ms.
-const dialTimeout = 250 * time.Millisecond
+const dialTimeout = 100 * time.Millisecond
 
 // Client calls one address, one call at a time.
 //
