--- a/internal/control/agreement/members_test.go
+++ b/internal/control/agreement/members_test.go
@@ -11,12 +11,11 @@
 )
 
 // add starts a voter that is not among the founders.
-func (c *cluster) add(name string) *node {
+func (c *cluster) add(name string) {
 	n := &node{cluster: c, name: name, disk: fault.New(uint64(len(c.names)))}
 	c.nodes[name] = n
 	n.replaceDisk()
 	c.names = append(c.names, name)
-	return n
 }
 
 func votersOf(c *cluster) []string {
--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -221,10 +221,10 @@
 // under a revision must stay what it was.
 func (l *Ledger) publish(c Change) Answer {
 	current := l.Current()
-	next := WithPresets(*c.Publish, current)
-	if err := next.Check(); err != nil {
-		return Answer{Verdict: Invalid, Revision: current.Revision, Reason: err.Error()}
+	if answer := Examine(*c.Publish); answer.Verdict == Invalid {
+		return answer
 	}
+	next := withPresets(*c.Publish, current)
 	if next.Revision <= current.Revision {
 		return Answer{Verdict: Superseded, Revision: current.Revision}
 	}
@@ -233,9 +233,18 @@
 	return Answer{Verdict: Accepted, Revision: next.Revision}
 }
 
-// WithPresets returns a published configuration with the presets in force: such
+// Examine returns the verdict on a published configuration by itself: Invalid
+// with its reason, or none.
+func Examine(c configuration.Configuration) Answer {
+	if err := withPresets(c, configuration.Configuration{}).Check(); err != nil {
+		return Answer{Verdict: Invalid, Reason: err.Error()}
+	}
+	return Answer{}
+}
+
+// withPresets returns a published configuration with the presets in force: such
 // a configuration names routes and services and leaves the presets alone.
-func WithPresets(c, current configuration.Configuration) configuration.Configuration {
+func withPresets(c, current configuration.Configuration) configuration.Configuration {
 	c.InForce, c.Presets = current.InForce, current.Presets
 	if len(c.Presets) == 0 {
 		p := configuration.OrdinaryPreset()
--- a/internal/control/voter/publish.go
+++ b/internal/control/voter/publish.go
@@ -39,8 +39,8 @@
 // Publish accepts a configuration that carries its own revision, here or at the
 // leader; the highest revision wins and equal or older ones change nothing.
 func (v *Voter) Publish(ctx context.Context, c configuration.Configuration, key, who string) (ledger.Answer, error) {
-	if err := ledger.WithPresets(c, configuration.Configuration{}).Check(); err != nil {
-		return ledger.Answer{Verdict: ledger.Invalid, Reason: err.Error()}, nil
+	if answer := ledger.Examine(c); answer.Verdict == ledger.Invalid {
+		return answer, nil
 	}
 	if held := v.Held(); c.Revision <= held.Revision {
 		return ledger.Answer{Verdict: ledger.Superseded, Revision: held.Revision}, nil
--- /dev/null
+++ b/internal/control/voter/voter_test.go
@@ -0,0 +1,118 @@
+package voter_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/control/agreement"
+	"wasabideal/internal/control/audit"
+	"wasabideal/internal/control/ledger"
+	"wasabideal/internal/control/voter"
+	"wasabideal/internal/disk/fault"
+	"wasabideal/internal/disk/folder"
+	"wasabideal/internal/disk/wal"
+	"wasabideal/internal/model/configuration"
+)
+
+// guarded makes a folder safe for a voter and a test at once.
+type guarded struct {
+	mu sync.Mutex
+	*fault.Folder
+}
+
+func (g *guarded) Create(name string) (folder.File, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Folder.Create(name)
+}
+
+func (g *guarded) full(full bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.FailAt = 0
+	if full {
+		g.FailAt = g.Operations + 1
+	}
+}
+
+// alone starts a voter that is its own majority.
+func alone(t *testing.T, disk *guarded) *voter.Voter {
+	w, d, err := wal.Open(disk)
+	require.NoError(t, err)
+	trail, err := audit.Open(fault.New(9), hclog.NewNullLogger())
+	require.NoError(t, err)
+	self := agreement.Voter{Name: "v1", Id: "v1", Address: "127.0.0.1:1"}
+	v, err := voter.New(voter.Settings{
+		Agreement: agreement.Settings{
+			Self: self, Founders: []agreement.Voter{self}, Heartbeat: 10 * time.Millisecond,
+			Election: 30 * time.Millisecond, EntriesPerMessage: 8,
+		},
+		GroupToken: "group", CompactAfter: 4, Tick: 5 * time.Millisecond, AcceptTimeout: 300 * time.Millisecond, Clock: time.Now,
+		Reopen: func() (*wal.Wal, agreement.Durable, error) { return wal.Open(disk) },
+	}, w, d, trail, hclog.NewNullLogger())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		v.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return v
+}
+
+func publish(v *voter.Voter, revision uint64) error {
+	a, err := v.Publish(context.Background(), configuration.Configuration{Revision: revision}, fmt.Sprint("key-", revision), "test")
+	if err != nil {
+		return err
+	}
+	return a.Err()
+}
+
+func eventually(t *testing.T, f func() bool) {
+	require.Eventually(t, f, 20*time.Second, 10*time.Millisecond)
+}
+
+// Symptom: after a disk had been full for some seconds its voter took part in
+// nothing until it was restarted.
+// Events: a write is refused; some seconds later the disk has room again.
+// Cause: a voter stayed read-only for ever after one refused write.
+func TestVoterReturnsWhenItsDiskWorksAgain(t *testing.T) {
+	disk := &guarded{Folder: fault.New(1)}
+	v := alone(t, disk)
+	eventually(t, func() bool { return publish(v, 5) == nil })
+	disk.full(true)
+	require.Error(t, publish(v, 6))
+	require.Equal(t, uint64(5), v.Held().Revision, "what was not synced is not in force")
+	disk.full(false)
+	eventually(t, func() bool { return publish(v, 7) == nil })
+	c, err := v.Read(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), c.Revision)
+}
+
+func TestHighestRevisionWins(t *testing.T) {
+	v := alone(t, &guarded{Folder: fault.New(1)})
+	eventually(t, func() bool { return publish(v, 5) == nil })
+	other := configuration.Configuration{Revision: 5, Services: []configuration.Service{{Name: "other", Protocol: configuration.TCP}}}
+	a, err := v.Publish(t.Context(), other, "other", "test")
+	require.NoError(t, err)
+	require.Equal(t, ledger.Superseded, a.Verdict)
+	require.Empty(t, v.Held().Services, "other content under the same revision changes nothing")
+	require.NoError(t, publish(v, 3), "an older one is acknowledged")
+	require.Equal(t, uint64(5), v.Held().Revision)
+	a, err = v.Publish(t.Context(), configuration.Configuration{Revision: 9, Routes: []configuration.Route{{Name: "r"}}}, "bad", "test")
+	require.NoError(t, err)
+	var invalid *ledger.InvalidError
+	require.ErrorAs(t, a.Err(), &invalid)
+	require.Equal(t, uint64(5), v.Held().Revision)
+}
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		// The next question asks for the whole configuration.
 		f.log.Warn("configuration cannot be followed", "Address", address, "Error", err)
-		q.Revision, next = 0, held
+		q.Revision = 0
 		if a, err = rpc.Call[feed.Question, feed.Answer](ctx, client, feed.Method, *q); err != nil {
 			return err
 		}
--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -115,6 +115,9 @@
 	}
 }
 
+// Flows returns the number of flows remembered.
+func (r *Router) Flows() int { return len(r.flows) }
+
 // Tick forgets what is old; call it at a steady pace.
 func (r *Router) Tick(now time.Time) {
 	if now.Sub(r.swept) < sweepEvery {
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -28,8 +28,8 @@
 	pools    map[string][]*target
 	flows    map[flowKey]*flow
 	swept    time.Time
-	turn     int
-	strays   uint64
+	// turn moves on with each choice, so that equal upstreams take turns.
+	turn int
 }
 
 // New returns a router that drops everything until it is configured.
--- /dev/null
+++ b/internal/cookie/router/router_test.go
@@ -0,0 +1,234 @@
+package router_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/cookie/router"
+	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/upstream/view"
+)
+
+var (
+	epoch  = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	orders = netip.MustParseAddrPort("198.18.0.1:8080")
+	notes  = netip.MustParseAddrPort("198.18.0.2:8443")
+)
+
+func target(incarnation uint64, service, zone string) view.Target {
+	return view.Target{Live: true, Upstream: upstream.Upstream{
+		Identity: upstream.Identity{
+			Service: service, Incarnation: incarnation,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(incarnation)}), 80),
+		},
+		Zone: zone, Slots: 2, State: upstream.Ready,
+	}}
+}
+
+func configured(revision uint64) configuration.Configuration {
+	return configuration.Configuration{Revision: revision, Routes: []configuration.Route{
+		{Name: "orders", Address: orders, Service: "orders"}, {Name: "notes", Address: notes, Service: "notes"},
+	}}
+}
+
+func newRouter(t require.TestingT, targets ...view.Target) *router.Router {
+	r := router.New(router.Settings{Zone: "a"})
+	require.NoError(t, r.Configure(configured(1)))
+	r.SetTargets(targets)
+	return r
+}
+
+func caller(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(n >> 8), byte(n)}), 40000)
+}
+
+func opening(n int) router.Packet {
+	return router.Packet{Caller: caller(n), Address: orders, Opening: true}
+}
+
+func TestPackets(t *testing.T) {
+	ended := target(3, "orders", "a")
+	ended.Ended, ended.Live = true, false
+	draining := target(4, "orders", "a")
+	draining.State = upstream.Draining
+	r := newRouter(t, target(1, "orders", "a"), target(2, "notes", "a"), ended, draining)
+	for _, c := range []struct {
+		name   string
+		packet router.Packet
+		action router.Action
+		reason router.Reason
+		to     uint64
+	}{
+		{"opening", opening(1), router.Forward, router.Placed, 1},
+		{"copy of it", opening(1), router.Forward, router.Repeated, 1},
+		{"no such route", router.Packet{Opening: true, Address: netip.MustParseAddrPort("198.18.0.9:1")}, router.Reset, router.NoRoute, 0},
+		{"open flow", router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(1)}, router.Forward, router.Known, 1},
+		{"flow seen first here", router.Packet{Caller: caller(7), Address: notes, Cookie: router.Cookie(2)}, router.Forward, router.Known, 2},
+		{"draining upstream's flow", router.Packet{Caller: caller(8), Address: orders, Cookie: router.Cookie(4)}, router.Forward, router.Known, 4},
+		{"ended upstream's flow", router.Packet{Caller: caller(9), Address: orders, Cookie: router.Cookie(3)}, router.Reset, router.Ended, 0},
+		{"reset to an ended upstream", router.Packet{Caller: caller(9), Cookie: router.Cookie(3), Reset: true}, router.Drop, router.Ended, 0},
+		{"unknown cookie", router.Packet{Caller: caller(9), Address: orders, Cookie: 99}, router.Drop, router.UnknownCookie, 0},
+		{"neither opening nor open", router.Packet{Caller: caller(9), Address: orders}, router.Drop, router.Stray, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := r.Route(epoch, c.packet)
+			require.Equal(t, c.action, v.Action)
+			require.Equal(t, c.reason, v.Reason)
+			require.Equal(t, c.to, v.Incarnation)
+		})
+	}
+}
+
+func TestNothingIsPlacedBeforeAConfiguration(t *testing.T) {
+	r := router.New(router.Settings{Zone: "a"})
+	r.SetTargets([]view.Target{target(1, "orders", "a")})
+	require.Equal(t, router.Verdict{Action: router.Drop, Reason: router.Unconfigured}, r.Route(epoch, opening(1)))
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	r := newRouter(t)
+	require.NoError(t, r.Configure(configured(5)))
+	var reverted *router.RevertError
+	require.ErrorAs(t, r.Configure(configured(4)), &reverted)
+	require.Equal(t, uint64(5), r.Revision())
+}
+
+func TestRouteWithoutUpstreamIsResetAtOnce(t *testing.T) {
+	v := newRouter(t, target(2, "notes", "a")).Route(epoch, opening(1))
+	require.Equal(t, router.Reset, v.Action)
+	require.Equal(t, router.NoUpstream, v.Reason)
+}
+
+// Symptom: packets of a bay booking flow reached an upstream of another service.
+// Events: two upstreams' incarnations fold into one cookie; a flow is open at
+// the older one when the younger one announces itself.
+// Cause: the cookie named the younger one from then on.
+func TestUpstreamWithAnothersCookieTakesNoFlow(t *testing.T) {
+	// The fold is linear: this incarnation has the cookie of 1.
+	const twin = uint64(1)<<32 | (1 ^ 0x9e3779b1)
+	require.Equal(t, router.Cookie(1), router.Cookie(twin))
+	r := newRouter(t, target(1, "orders", "a"))
+	younger := target(twin, "notes", "a")
+	r.SetTargets([]view.Target{target(1, "orders", "a"), younger})
+	require.Equal(t, uint64(1), r.Route(epoch, router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(1)}).Incarnation)
+	v := r.Route(epoch, router.Packet{Caller: caller(2), Address: notes, Opening: true})
+	require.Equal(t, router.NoUpstream, v.Reason)
+}
+
+func TestFlowsSpreadOverTheOwnZone(t *testing.T) {
+	r := newRouter(t, target(1, "orders", "a"), target(2, "orders", "a"), target(3, "orders", "b"))
+	counts := map[uint64]int{}
+	for n := range 4 {
+		counts[r.Route(epoch, opening(n)).Incarnation]++
+	}
+	require.Equal(t, map[uint64]int{1: 2, 2: 2}, counts, "one a slot waits for no one")
+	for n := range 40 {
+		counts[r.Route(epoch, opening(100+n)).Incarnation]++
+	}
+	require.NotZero(t, counts[3], "an own zone that is full spills")
+}
+
+// Symptom: each opening sent to a silent upstream cost its caller 1.4 s.
+// Events: an upstream falls silent; openings and requests to it are repeated.
+// Cause: only its missing announcements told of it, seconds later.
+func TestSilentUpstreamIsSuspected(t *testing.T) {
+	r := newRouter(t, target(1, "orders", "a"), target(2, "orders", "a"))
+	first := r.Route(epoch, opening(1)).Incarnation
+	later := epoch.Add(200 * time.Millisecond)
+	require.Equal(t, first, r.Route(later, opening(1)).Incarnation, "a copy never opens a second flow elsewhere")
+	for n := range 20 {
+		require.NotEqual(t, first, r.Route(later, opening(10+n)).Incarnation)
+	}
+	// The first upstream was only slow: its flow opens after all.
+	r.Route(later, router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(first), Sequence: 1, Acknowledged: 1})
+	counts := map[uint64]int{}
+	for n := range 20 {
+		counts[r.Route(later, opening(50+n)).Incarnation]++
+	}
+	require.NotZero(t, counts[first])
+}
+
+func TestRepeatedRequestRaisesSuspicion(t *testing.T) {
+	r := newRouter(t, target(1, "orders", "a"), target(2, "orders", "a"))
+	request := router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(1), Sequence: 100, Acknowledged: 50, Length: 300}
+	r.Route(epoch, router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(1), Sequence: 100, Acknowledged: 50})
+	r.Route(epoch, request)
+	later := epoch.Add(200 * time.Millisecond)
+	r.Route(later, request)
+	for n := range 10 {
+		require.Equal(t, uint64(2), r.Route(later, opening(10+n)).Incarnation)
+	}
+}
+
+func TestSilentAndSuspectedUpstreamsComeLast(t *testing.T) {
+	silent := target(1, "orders", "a")
+	silent.Live = false
+	r := newRouter(t, silent, target(2, "orders", "b"))
+	for n := range 10 {
+		require.Equal(t, uint64(2), r.Route(epoch, opening(n)).Incarnation)
+	}
+	r.SetTargets([]view.Target{silent})
+	require.Equal(t, uint64(1), r.Route(epoch, opening(20)).Incarnation, "better than none")
+}
+
+func TestSplitRouteKeepsItsWeights(t *testing.T) {
+	r := router.New(router.Settings{Zone: "a"})
+	require.NoError(t, r.Configure(configuration.Configuration{Revision: 1, Routes: []configuration.Route{{
+		Name: "split", Address: orders,
+		Split: []configuration.Backend{{Service: "orders", Weight: 90}, {Service: "notes", Weight: 10}},
+	}}}))
+	r.SetTargets([]view.Target{target(1, "orders", "a"), target(2, "notes", "a")})
+	counts := map[uint64]int{}
+	for n := range 5000 {
+		v := r.Route(epoch, opening(n))
+		require.Equal(t, v.Incarnation, r.Route(epoch, opening(n)).Incarnation)
+		counts[v.Incarnation]++
+	}
+	require.InDelta(t, 500, counts[2], 100)
+}
+
+func TestMemoryOfFlowsIsForgotten(t *testing.T) {
+	r := newRouter(t, target(1, "orders", "a"), target(2, "orders", "a"))
+	for n := range 100 {
+		r.Route(epoch, opening(n))
+	}
+	require.Equal(t, 100, r.Flows())
+	r.Tick(epoch.Add(time.Minute))
+	require.Zero(t, r.Flows())
+}
+
+func BenchmarkKnown(b *testing.B) {
+	r := newRouter(b, target(1, "orders", "a"), target(2, "orders", "a"))
+	packets := make([]router.Packet, 1024)
+	for n := range packets {
+		v := r.Route(epoch, opening(n))
+		packets[n] = router.Packet{Caller: caller(n), Address: orders, Cookie: v.Cookie, Sequence: 1, Acknowledged: 1}
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		p := packets[n%len(packets)]
+		p.Acknowledged = uint32(n)
+		if v := r.Route(epoch, p); v.Action != router.Forward {
+			b.Fatal(fmt.Sprint(v))
+		}
+	}
+}
+
+func BenchmarkOpening(b *testing.B) {
+	var targets []view.Target
+	for n := range 14 {
+		targets = append(targets, target(uint64(n+1), "orders", "a"))
+	}
+	r := newRouter(b, targets...)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		now := epoch.Add(time.Duration(n) * time.Millisecond)
+		r.Route(now, opening(n&0x7fff))
+		r.Tick(now)
+	}
+}
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -227,7 +227,7 @@
 		return
 	}
 	v := b.router.Route(now, p)
-	b.reports.note(now, b.log, p, v)
+	b.reports.note(b.log, p, v)
 	switch v.Action {
 	case router.Forward:
 		*b.buffer() = b.settings.Codec.Forward((*b.buffer())[:0], data, v)
--- a/internal/daemon/cookie/reports.go
+++ b/internal/daemon/cookie/reports.go
@@ -28,7 +28,7 @@
 }
 
 // note logs a decision on an opening, or one that did not forward a packet.
-func (r *reports) note(now time.Time, log hclog.Logger, p router.Packet, v router.Verdict) {
+func (r *reports) note(log hclog.Logger, p router.Packet, v router.Verdict) {
 	if v.Reason == router.Known {
 		return
 	}
--- a/internal/model/configuration/configuration.go
+++ b/internal/model/configuration/configuration.go
@@ -28,14 +28,14 @@
 	// Priority orders services under overload; a higher one is served first.
 	Priority int
 	// HealthPath is where an upstream of the service answers health checks over HTTP.
-	HealthPath string `cbor:",omitempty"`
+	HealthPath string `json:",omitzero" cbor:",omitempty"`
 	// MaxFlows is the number of flows that one upstream holds; 0 sets no bound.
-	MaxFlows int `cbor:",omitempty"`
+	MaxFlows int `json:",omitzero" cbor:",omitempty"`
 	// Application is the protocol inside the flows as the operator names it; the
 	// balancer does not read it.
-	Application string `cbor:",omitempty"`
+	Application string `json:",omitzero" cbor:",omitempty"`
 	// TLS says that the flows are encrypted between the two ends.
-	TLS bool `cbor:",omitempty"`
+	TLS bool `json:",omitzero" cbor:",omitempty"`
 }
 
 // Preset is a named set of limits; exactly one is in force.
@@ -69,9 +69,9 @@
 	Services []Service
 	Presets  []Preset
 	// Routes are the addresses that new flows may name, with the services behind them.
-	Routes []Route `cbor:",omitempty"`
+	Routes []Route `json:",omitzero" cbor:",omitempty"`
 	// Limits bound what callers may send.
-	Limits Limits `cbor:",omitzero"`
+	Limits Limits `json:",omitzero" cbor:",omitzero"`
 }
 
 // InvalidError says which key of a configuration is wrong and what is allowed.
--- /dev/null
+++ b/internal/upstream/directory/directory_test.go
@@ -0,0 +1,89 @@
+package directory_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/upstream/directory"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newDirectory() *directory.Directory {
+	return directory.New(directory.Settings{SilentAfter: 4 * time.Second, ForgetAfter: time.Minute})
+}
+
+func announced(incarnation, sequence uint64, s upstream.State) upstream.Upstream {
+	return upstream.Upstream{
+		Identity: upstream.Identity{Service: "orders", Incarnation: incarnation, Address: netip.MustParseAddrPort("10.0.0.1:80")},
+		Zone:     "a", Slots: 2, Sequence: sequence, State: s,
+	}
+}
+
+func TestOnlyChangesAreNews(t *testing.T) {
+	d := newDirectory()
+	for _, c := range []struct {
+		name        string
+		u           upstream.Upstream
+		news, newer bool
+	}{
+		{"first", announced(1, 1, upstream.Ready), true, true},
+		{"again", announced(1, 2, upstream.Ready), false, true},
+		{"repeated", announced(1, 2, upstream.Ready), false, false},
+		{"draining", announced(1, 4, upstream.Draining), true, true},
+		{"late", announced(1, 3, upstream.Ready), false, false},
+		{"gone", upstream.Upstream{Identity: upstream.Identity{Incarnation: 1}, State: upstream.Withdrawn}, true, true},
+		{"delayed after that", announced(1, 9, upstream.Ready), false, false},
+	} {
+		news, newer := d.Announce(epoch, c.u, 0)
+		require.Equal(t, c.news, news, c.name)
+		require.Equal(t, c.newer, newer, c.name)
+	}
+	notices := d.Since(epoch, 0)
+	require.Len(t, notices, 1)
+	require.Equal(t, upstream.Withdrawn, notices[0].Upstream.State)
+	require.Equal(t, "orders", notices[0].Upstream.Service, "a departure need not describe the upstream")
+}
+
+func TestSilenceIsNewsOnceAndEndsWithAnAnnouncement(t *testing.T) {
+	d := newDirectory()
+	d.Announce(epoch, announced(1, 1, upstream.Ready), 2*time.Second)
+	require.False(t, d.Tick(epoch.Add(3*time.Second)))
+	require.True(t, d.Tick(epoch.Add(5*time.Second)))
+	require.False(t, d.Tick(epoch.Add(6*time.Second)))
+	require.True(t, d.Since(epoch.Add(6*time.Second), 0)[0].Silent)
+	version := d.Version()
+	news, _ := d.Announce(epoch.Add(7*time.Second), announced(1, 2, upstream.Ready), 0)
+	require.True(t, news)
+	require.False(t, d.Since(epoch.Add(7*time.Second), version)[0].Silent)
+	d.Tick(epoch.Add(2 * time.Minute))
+	require.Empty(t, d.Since(epoch.Add(2*time.Minute), 0))
+}
+
+// Symptom: an upstream got no flow although it announced itself every second.
+// Events: an upstream crashes behind a cut, another starts at its address; the
+// first one's delayed announcement arrives; the second announces itself again.
+// Cause: the delayed announcement took the address for good.
+func TestDelayedAnnouncementHoldsAnAddressOnlyUntilTheNext(t *testing.T) {
+	d := newDirectory()
+	d.Announce(epoch, announced(1, 1, upstream.Ready), 0)
+	d.Announce(epoch.Add(time.Second), announced(2, 1, upstream.Ready), 0)
+	require.Equal(t, []bool{true, false}, replaced(d))
+	d.Announce(epoch.Add(2*time.Second), announced(1, 2, upstream.Ready), 0)
+	require.Equal(t, []bool{false, true}, replaced(d))
+	news, _ := d.Announce(epoch.Add(3*time.Second), announced(2, 2, upstream.Ready), 0)
+	require.True(t, news)
+	require.Equal(t, []bool{true, false}, replaced(d))
+}
+
+func replaced(d *directory.Directory) []bool {
+	var out []bool
+	for _, n := range d.Since(epoch, 0) {
+		out = append(out, n.Replaced)
+	}
+	return out
+}
