--- a/internal/configuration/history/history.go
+++ b/internal/configuration/history/history.go
@@ -1,6 +1,7 @@
 package history
 
 import (
+	"cmp"
 	"fmt"
 	"reflect"
 	"slices"
@@ -114,8 +115,13 @@
 	return held, nil
 }
 
-// Digest sums a whole configuration.
+// Digest sums a whole configuration, whatever the order of its parts: deltas
+// keep what they tell and not where it stood, and a follower that asked for the
+// whole after each of them would fill the link of a small VM.
 func Digest(c configuration.Configuration) uint64 {
+	c.Services = sorted(c.Services, serviceName)
+	c.Presets = sorted(c.Presets, presetName)
+	c.Routes = sorted(c.Routes, routeName)
 	b, _ := cbor.Marshal(c)
 	return xxhash.Sum64(b)
 }
@@ -123,8 +129,6 @@
 // Between returns the delta from one configuration to another.
 func Between(from, to configuration.Configuration) Delta {
 	d := Delta{From: from.Revision, To: to.Revision, InForce: to.InForce, Digest: Digest(to)}
-	serviceName := func(s configuration.Service) string { return s.Name }
-	presetName := func(p configuration.Preset) string { return p.Name }
 	d.Services, d.RemovedServices = changes(from.Services, to.Services, serviceName)
 	d.Presets, d.RemovedPresets = changes(from.Presets, to.Presets, presetName)
 	d.Routes, d.RemovedRoutes = changes(from.Routes, to.Routes, routeName)
@@ -132,6 +136,14 @@
 	return d
 }
 
+func serviceName(s configuration.Service) string { return s.Name }
+
+func presetName(p configuration.Preset) string { return p.Name }
+
+func sorted[T any](items []T, name func(T) string) []T {
+	return slices.SortedFunc(slices.Values(items), func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+}
+
 func routeName(r configuration.Route) string { return r.Name }
 
 // changes returns the items that are new or differ, and the names that are gone.
@@ -151,8 +163,8 @@
 
 func (d Delta) apply(c configuration.Configuration) configuration.Configuration {
 	c.Revision, c.InForce = d.To, d.InForce
-	c.Services = merge(c.Services, d.Services, d.RemovedServices, func(s configuration.Service) string { return s.Name })
-	c.Presets = merge(c.Presets, d.Presets, d.RemovedPresets, func(p configuration.Preset) string { return p.Name })
+	c.Services = merge(c.Services, d.Services, d.RemovedServices, serviceName)
+	c.Presets = merge(c.Presets, d.Presets, d.RemovedPresets, presetName)
 	c.Routes = merge(c.Routes, d.Routes, d.RemovedRoutes, routeName)
 	c.Limits = d.Limits
 	return c
--- /dev/null
+++ b/internal/configuration/history/history_test.go
@@ -0,0 +1,44 @@
+package history_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/configuration/history"
+	"wasabideal/internal/model/configuration"
+)
+
+func routes(revision uint64, ports ...uint16) configuration.Configuration {
+	c := configuration.Configuration{Revision: revision}
+	for _, p := range ports {
+		c.Routes = append(c.Routes, configuration.Route{
+			Name: fmt.Sprint("r-", p), Address: netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), p),
+		})
+	}
+	return c
+}
+
+// Symptom: balancers asked every voter for the whole configuration after each
+// change, 120 kB over a link of 2 Mbit/s.
+// Events: an operator's document has a new route between two others.
+// Cause: the follower's copy had the same parts in another order, and the digest
+// of the whole depended on the order.
+func TestDeltaLeadsToTheSameDigestWhateverTheOrder(t *testing.T) {
+	h := history.New(8).With(routes(1, 80, 443)).With(routes(2, 80, 8080, 443)).With(routes(5, 9090, 8080))
+	answer := h.Since(1)
+	require.Len(t, answer.Deltas, 2)
+	c, err := history.Follow(routes(1, 80, 443), answer)
+	require.NoError(t, err)
+	require.Equal(t, uint64(5), c.Revision)
+	require.ElementsMatch(t, routes(5, 9090, 8080).Routes, c.Routes)
+}
+
+func TestDeltaFromAnotherConfigurationIsNoticed(t *testing.T) {
+	h := history.New(8).With(routes(1, 80)).With(routes(2, 80, 443))
+	_, err := history.Follow(routes(1, 81), h.Since(1))
+	var digest *history.DigestError
+	require.ErrorAs(t, err, &digest)
+}
--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -25,6 +25,9 @@
 	// Life and Version are those of the voter's directory that the balancer
 	// heard last.
 	Life, Version uint64
+	// Brief asks for no more than the revision where the whole configuration
+	// would have to be sent.
+	Brief bool
 	// Hold is how long the answer may wait for news.
 	Hold time.Duration
 }
@@ -141,6 +144,9 @@
 		History: f.history.Since(q.Revision), Life: f.life, Version: f.directory.Version(),
 		Notices: f.directory.Since(f.clock(), version), Members: f.members,
 	}
+	if q.Brief && a.History.Whole != nil {
+		a.History.Whole = nil
+	}
 	news := q.Life != f.life || f.history.Current().Revision > q.Revision || a.Version > version
 	return a, news, f.changed
 }
--- a/internal/control/voter/operator.go
+++ b/internal/control/voter/operator.go
@@ -15,6 +15,7 @@
 	if c.ChangeKey == "" {
 		return ledger.Answer{}, MissingKeyError{}
 	}
+	begun := v.settings.Clock()
 	w, answer, err := v.propose(c)
 	if err != nil || w == nil {
 		return answer, err
@@ -23,6 +24,7 @@
 	defer timeout.Stop()
 	select {
 	case a := <-w:
+		since(v.counts.accepting, begun, v.settings.Clock())
 		return a, nil
 	case <-timeout.C:
 	case <-ctx.Done():
--- a/internal/control/voter/publish.go
+++ b/internal/control/voter/publish.go
@@ -136,10 +136,12 @@
 	defer timeout.Stop()
 	select {
 	case c := <-r.done:
+		v.counts.readsDone.Inc(1)
 		return c, nil
 	case <-timeout.C:
 	case <-ctx.Done():
 	}
+	v.counts.readsRefused.Inc(1)
 	return configuration.Configuration{}, UnconfirmedError{}
 }
 
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -93,7 +93,8 @@
 	marked   uint64
 	markedAt time.Time
 	// reads wait for a majority to confirm that this voter leads.
-	reads []*pendingRead
+	reads  []*pendingRead
+	counts *counts
 	// standing is what was logged last of who leads and who votes.
 	standing standing
 	// members are the call addresses of all voters known, for readers that must
@@ -111,6 +112,7 @@
 	v := &Voter{
 		settings: s, log: log, wal: w, ledger: ledger.New(), trail: trail,
 		waiting: map[uint64]waiter{}, outboxes: map[string]*outbox{}, senders: map[string]string{},
+		counts: newCounts(),
 	}
 	v.source = source.New(v.current)
 	v.agreement = agreement.New(s.Agreement, d, s.Clock())
@@ -252,7 +254,11 @@
 		case x.Send != nil:
 			v.send(*x.Send)
 		case x.Persist != nil:
-			if err := v.wal.Write(*x.Persist); err != nil {
+			begun := v.settings.Clock()
+			err := v.wal.Write(*x.Persist)
+			since(v.counts.syncing, begun, v.settings.Clock())
+			if err != nil {
+				v.counts.failedWrites.Inc(1)
 				v.log.Error("voter is read-only now", "Error", err)
 				v.failedAt = v.settings.Clock()
 				v.events = append(v.events, agreement.Event{DiskFailed: true})
@@ -291,6 +297,7 @@
 	}
 	_, answer, record := v.ledger.Apply(e.Data)
 	v.publish()
+	v.counts.applied.Inc(1)
 	v.log.Info("change applied", "Index", e.Index, "Verdict", answer.Verdict, "Revision", answer.Revision)
 	if record != nil {
 		v.trail.Write(e.Index, *record)
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -46,12 +46,17 @@
 	ctx      context.Context
 	asking   map[string]bool
 	named    map[string]time.Time
+	// fetching holds one token while a whole configuration is on its way.
+	fetching chan struct{}
 	running  sync.WaitGroup
 }
 
 // New returns a follower that begins with Start.
 func New(token string, clock func() time.Time, l Listener, log hclog.Logger) *Follower {
-	return &Follower{token: token, clock: clock, log: log, listener: l, asking: map[string]bool{}, named: map[string]time.Time{}}
+	return &Follower{
+		token: token, clock: clock, log: log, listener: l, asking: map[string]bool{}, named: map[string]time.Time{},
+		fetching: make(chan struct{}, 1),
+	}
 }
 
 // Start begins to ask; it ends with the context.
@@ -124,7 +129,7 @@
 
 func (f *Follower) once(client *rpc.Client, address string, q *feed.Question) error {
 	held := f.listener.Held()
-	q.Revision, q.Hold = held.Revision, hold
+	q.Revision, q.Hold, q.Brief = held.Revision, hold, true
 	ctx, cancel := context.WithTimeout(f.ctx, hold+grace)
 	defer cancel()
 	a, err := rpc.Call[feed.Question, feed.Answer](ctx, client, feed.Method, *q)
@@ -133,18 +138,45 @@
 	}
 	next, err := history.Follow(held, a.History)
 	if err != nil {
-		// The next question asks for the whole configuration.
 		f.log.Warn("configuration cannot be followed", "Address", address, "Error", err)
-		q.Revision = 0
-		if a, err = rpc.Call[feed.Question, feed.Answer](ctx, client, feed.Method, *q); err != nil {
-			return err
-		}
-		if next, err = history.Follow(held, a.History); err != nil {
-			return err
-		}
 	}
 	q.Life, q.Version = a.Life, a.Version
 	f.Name(a.Members)
-	f.listener.Answered(address, next, a)
+	if err == nil && next.Revision >= a.History.Revision {
+		f.listener.Answered(address, next, a)
+		return nil
+	}
+	// The news of upstreams need not wait for the configuration.
+	f.listener.Answered(address, held, a)
+	if next, err = f.whole(ctx, client, *q, a.History.Revision); err != nil {
+		return err
+	}
+	f.listener.Answered(address, next, feed.Answer{Life: a.Life})
 	return nil
 }
+
+// wholeWait is how long a voter's configuration waits for another's that is on
+// its way: what a small VM's link takes for one of some hundred routes.
+const wholeWait = 300 * time.Millisecond
+
+// whole fetches the whole configuration, from one voter at a time: all voters'
+// at once would fill a small VM's link just when it starts.
+func (f *Follower) whole(ctx context.Context, client *rpc.Client, q feed.Question, revision uint64) (configuration.Configuration, error) {
+	wait := time.NewTimer(wholeWait)
+	defer wait.Stop()
+	select {
+	case f.fetching <- struct{}{}:
+		defer func() { <-f.fetching }()
+	case <-wait.C:
+	}
+	held := f.listener.Held()
+	if held.Revision >= revision {
+		return held, nil
+	}
+	q.Revision, q.Brief = 0, false
+	a, err := rpc.Call[feed.Question, feed.Answer](ctx, client, feed.Method, q)
+	if err != nil {
+		return held, err
+	}
+	return history.Follow(held, a.History)
+}
--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -81,6 +81,7 @@
 		f.opening = false
 		t.opening--
 		t.sawLife(now)
+		tell(r.settings.Opened, now.Sub(f.sent))
 		f.next, f.acknowledged = p.Sequence, p.Acknowledged
 	}
 	if int32(p.Acknowledged-f.acknowledged) > 0 {
@@ -89,6 +90,7 @@
 		if f.working {
 			f.working = false
 			t.working--
+			tell(r.settings.Answered, now.Sub(f.sent))
 		}
 	}
 	r.noteData(now, f, t, p)
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -58,12 +58,14 @@
 	UnknownCookie
 	// Ended upstreams are certainly gone.
 	Ended
+	// Busy links let no further upload in.
+	Busy
 	// Stray packets belong to no flow and ask for none.
 	Stray
 )
 
 var reasonNames = [...]string{
-	"Known", "Placed", "Repeated", "Unconfigured", "NoRoute", "NoUpstream", "UnknownCookie", "Ended", "Stray",
+	"Known", "Placed", "Repeated", "Unconfigured", "NoRoute", "NoUpstream", "UnknownCookie", "Ended", "Busy", "Stray",
 }
 
 // String returns the reason's name as it stands in logs.
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -16,13 +16,17 @@
 	Zone string
 	// Suspected is told of an upstream that left a packet unanswered, if set.
 	Suspected func(view.Target)
+	// Opened is told how long the caller of a new flow waited until it was open,
+	// as seen here; Answered how long one waited for the answer to a request.
+	// Either may be nil.
+	Opened, Answered func(time.Duration)
 }
 
 // Router decides on each packet; one goroutine owns it.
 type Router struct {
 	settings Settings
 	revision uint64
-	routes   map[netip.AddrPort][]configuration.Backend
+	routes   map[netip.AddrPort]configuration.Route
 	targets  map[uint64]*target
 	cookies  map[uint32]*target
 	pools    map[string][]*target
@@ -35,7 +39,7 @@
 // New returns a router that drops everything until it is configured.
 func New(s Settings) *Router {
 	return &Router{
-		settings: s, routes: map[netip.AddrPort][]configuration.Backend{}, targets: map[uint64]*target{},
+		settings: s, routes: map[netip.AddrPort]configuration.Route{}, targets: map[uint64]*target{},
 		cookies: map[uint32]*target{}, pools: map[string][]*target{}, flows: map[flowKey]*flow{},
 	}
 }
@@ -51,13 +55,16 @@
 		return &RevertError{Held: r.revision, Offered: c.Revision}
 	}
 	r.revision = c.Revision
-	r.routes = make(map[netip.AddrPort][]configuration.Backend, len(c.Routes))
+	r.routes = make(map[netip.AddrPort]configuration.Route, len(c.Routes))
 	for _, x := range c.Routes {
-		r.routes[x.Address] = x.Backends()
+		r.routes[x.Address] = x
 	}
 	return nil
 }
 
+// Class returns the class of the requests to an address, none where no route has it.
+func (r *Router) Class(address netip.AddrPort) configuration.Class { return r.routes[address].Class }
+
 // Revision returns the revision in force, 0 before the first.
 func (r *Router) Revision() uint64 { return r.revision }
 
@@ -125,7 +132,7 @@
 	if r.revision == 0 {
 		return Verdict{Action: Drop, Reason: Unconfigured}
 	}
-	backends, ok := r.routes[p.Address]
+	route, ok := r.routes[p.Address]
 	if !ok {
 		return Verdict{Action: Reset, Reason: NoRoute, Revision: r.revision}
 	}
@@ -139,7 +146,7 @@
 		}
 		r.forget(k, f)
 	}
-	t := r.choose(now, pick(backends, k.number()))
+	t := r.choose(now, pick(route.Backends(), k.number()))
 	if t == nil {
 		return Verdict{Action: Reset, Reason: NoUpstream, Revision: r.revision}
 	}
@@ -153,6 +160,13 @@
 	return xxhash.Sum64(append(b[:], byte(k.caller.Port()>>8), byte(k.caller.Port())))
 }
 
+// tell passes a duration to a listener, if there is one.
+func tell(listener func(time.Duration), d time.Duration) {
+	if listener != nil {
+		listener(d)
+	}
+}
+
 func (r *Router) suspect(t *target) {
 	if r.settings.Suspected != nil {
 		r.settings.Suspected(t.Target)
--- /dev/null
+++ b/internal/cookie/uplink/uplink_test.go
@@ -0,0 +1,95 @@
+package uplink_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/cookie/uplink"
+)
+
+const (
+	narrow = 250_000 // bytes a second: 2 Mbit/s
+	size   = 1244
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func packet(flow, sequence int) uplink.Packet[int, int] {
+	return uplink.Packet[int, int]{Flow: flow, Sequence: uint32(sequence), Length: 1200, Size: size}
+}
+
+func TestLimitFollowsTheLink(t *testing.T) {
+	require.Equal(t, 2, uplink.New[int, int](narrow).Limit())
+	require.Equal(t, 1, uplink.New[int, int](narrow/10).Limit())
+	require.Equal(t, 1004, uplink.New[int, int](500*narrow).Limit())
+}
+
+// Symptom: uploads took seconds, and short requests through the same entry VM
+// waited a quarter of a second.
+// Events: three callers start uploads through one link of 2 Mbit/s.
+// Cause: their windows took longer than the time after which packets are
+// repeated, and the repetitions filled the link.
+func TestThirdUploadIsTurnedAwayAtItsOpening(t *testing.T) {
+	u := uplink.New[int, int](narrow)
+	require.True(t, u.Admit(epoch, 1))
+	require.True(t, u.Admit(epoch, 2))
+	require.False(t, u.Admit(epoch, 3))
+	require.True(t, u.Admit(epoch, 1), "one that is in stays")
+	u.Leave(2)
+	require.True(t, u.Admit(epoch, 3))
+	require.True(t, u.Admit(epoch.Add(time.Second), 4), "silent uploads make room")
+}
+
+// replay lets callers with windows of 16 packets upload over the link, and
+// returns the longest wait of a packet and how many were repeated.
+func replay(t *testing.T, flows int) (longest time.Duration, repeated int) {
+	u := uplink.New[int, int](narrow)
+	sent := map[[2]int]time.Time{}
+	next := make([]int, flows)
+	offer := func(now time.Time, flow int) {
+		next[flow]++
+		sent[[2]int{flow, next[flow]}] = now
+		require.Equal(t, uplink.Waits, u.Offer(now, packet(flow, next[flow])))
+	}
+	for flow := range flows {
+		for range 16 {
+			offer(epoch, flow)
+		}
+	}
+	for now := epoch; now.Before(epoch.Add(2 * time.Second)); now = now.Add(time.Millisecond) {
+		for {
+			p, due := u.Due(now)
+			if !due {
+				break
+			}
+			k := [2]int{p.Flow, int(p.Sequence)}
+			longest = max(longest, now.Sub(sent[k]))
+			if now.Sub(sent[k]) > 200*time.Millisecond {
+				repeated++
+			}
+			offer(now, p.Flow)
+		}
+	}
+	return longest, repeated
+}
+
+func TestPacedUploadsAreNotRepeated(t *testing.T) {
+	for flows := 1; flows <= 2; flows++ {
+		longest, repeated := replay(t, flows)
+		require.Zero(t, repeated, "%d uploads, longest wait %s", flows, longest)
+	}
+}
+
+func TestRepeatedPacketIsDroppedWhileItsFirstCopyWaits(t *testing.T) {
+	u := uplink.New[int, int](narrow)
+	require.Equal(t, uplink.Waits, u.Offer(epoch, packet(1, 1)))
+	require.Equal(t, uplink.Doubled, u.Offer(epoch, packet(1, 1)))
+	for n := 2; u.Offer(epoch, packet(1, n)) == uplink.Waits; n++ {
+		require.Less(t, n, 100, "the queue is bounded")
+	}
+	wait, waits := u.Wait(epoch)
+	require.True(t, waits)
+	require.Positive(t, wait)
+}
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -61,6 +61,8 @@
 	// StopTimeout bounds a planned stop.
 	StopTimeout time.Duration
 	Codec       Codec
+	// LinkBytesPerSecond is what the VM's link carries; 0 paces nothing.
+	LinkBytesPerSecond float64
 	// Clock is where this edge reads the time.
 	Clock func() time.Time
 }
@@ -74,7 +76,9 @@
 	mu       sync.Mutex
 	router   *router.Router
 	view     *view.View
-	held     configuration.Configuration
+	// uploads is nil where nothing is paced.
+	uploads *uploads
+	held    configuration.Configuration
 	// outdated says that the router's upstreams must be drawn from the view anew.
 	outdated   bool
 	drawn      time.Time
@@ -84,6 +88,7 @@
 	leaving    atomic.Bool
 	ready      atomic.Bool
 	reports    reports
+	counts     *counts
 	ctx        context.Context
 	cancel     context.CancelFunc
 	running    sync.WaitGroup
@@ -96,10 +101,15 @@
 		return nil, fmt.Errorf("listen on Fabric: %w", err)
 	}
 	b := &Balancer{
-		settings: s, log: log, socket: socket,
+		settings: s, log: log, socket: socket, counts: newCounts(),
 		view: view.New(view.Settings{ContactLease: contactLease, InheritFor: inheritFor, ForgetAfter: forgetAfter}),
 	}
-	b.router = router.New(router.Settings{Zone: s.Zone, Suspected: b.suspected})
+	if s.LinkBytesPerSecond > 0 {
+		b.uploads = newUploads(s.LinkBytesPerSecond)
+	}
+	b.router = router.New(router.Settings{
+		Zone: s.Zone, Suspected: b.suspected, Opened: record(b.counts.opened), Answered: record(b.counts.answered),
+	})
 	b.follower = follower.New(s.Token, s.Clock, b, log)
 	return b, nil
 }
@@ -113,6 +123,9 @@
 	b.follower.Start(b.ctx, b.settings.Sources)
 	b.goRun(b.read)
 	b.goRun(b.keepTime)
+	if b.uploads != nil {
+		b.goRun(b.pace)
+	}
 }
 
 func (b *Balancer) goRun(f func()) {
@@ -173,6 +186,7 @@
 }
 
 func (b *Balancer) suspected(t view.Target) {
+	b.counts.suspicions.Inc(1)
 	b.log.Info("upstream suspected", "Incarnation", fmt.Sprintf("%x", t.Incarnation), "Service", t.Service,
 		"Address", t.Address.String(), "Live", t.Live)
 }
@@ -214,7 +228,7 @@
 			b.handle(now, data)
 		}
 		if err := b.socket.Flush(); err != nil {
-			b.reports.lost(err)
+			b.sendFailed(err)
 		}
 		b.mu.Unlock()
 	}
@@ -223,13 +237,18 @@
 func (b *Balancer) handle(now time.Time, data []byte) {
 	p, err := b.settings.Codec.Decode(data)
 	if err != nil {
+		b.counts.malformed.Inc(1)
 		b.reports.malformed(err)
 		return
 	}
-	v := b.router.Route(now, p)
+	v := b.decide(now, p)
+	b.counts.decisions[v.Reason].Inc(1)
 	b.reports.note(b.log, p, v)
 	switch v.Action {
 	case router.Forward:
+		if b.delayed(now, p, v, data) {
+			return
+		}
 		*b.buffer() = b.settings.Codec.Forward((*b.buffer())[:0], data, v)
 		b.socket.Queue(v.To, *b.buffer())
 		b.used++
@@ -242,6 +261,11 @@
 	}
 }
 
+func (b *Balancer) sendFailed(err error) {
+	b.counts.sendErrors.Inc(1)
+	b.reports.lost(err)
+}
+
 // buffer returns the next free one of this batch.
 func (b *Balancer) buffer() *[]byte {
 	if b.used == len(b.buffers) {
--- /dev/null
+++ b/internal/daemon/cookie/counts.go
@@ -0,0 +1,63 @@
+package cookie
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"wasabideal/internal/cookie/router"
+	"wasabideal/internal/metric/text"
+)
+
+// samples is the number of latencies from which quantiles are told, the newest
+// weighted most: some minutes' worth of one balancer.
+const (
+	samples    = 512
+	sampleBias = 0.015
+)
+
+// counts are the balancer's metrics.
+type counts struct {
+	registry         metrics.Registry
+	decisions        [router.Stray + 1]metrics.Counter
+	malformed        metrics.Counter
+	sendErrors       metrics.Counter
+	suspicions       metrics.Counter
+	opened, answered metrics.Histogram
+}
+
+func newCounts() *counts {
+	r := metrics.NewRegistry()
+	c := &counts{
+		registry:   r,
+		malformed:  metrics.NewRegisteredCounter("DatagramsMalformedTotal", r),
+		sendErrors: metrics.NewRegisteredCounter("SendErrorsTotal", r),
+		suspicions: metrics.NewRegisteredCounter("SuspicionsTotal", r),
+		opened:     metrics.NewRegisteredHistogram("OpeningMicroseconds", r, metrics.NewExpDecaySample(samples, sampleBias)),
+		answered:   metrics.NewRegisteredHistogram("AnswerMicroseconds", r, metrics.NewExpDecaySample(samples, sampleBias)),
+	}
+	for reason := router.Known; reason <= router.Stray; reason++ {
+		c.decisions[reason] = metrics.NewRegisteredCounter("Packets"+reason.String()+"Total", r)
+	}
+	return c
+}
+
+func record(h metrics.Histogram) func(time.Duration) {
+	return func(d time.Duration) { h.Update(d.Microseconds()) }
+}
+
+// ServeMetrics answers with the metrics as text.
+func (b *Balancer) ServeMetrics(w http.ResponseWriter, _ *http.Request) {
+	b.mu.Lock()
+	set := func(name string, v int) { metrics.GetOrRegisterGauge(name, b.counts.registry).Update(int64(v)) }
+	set("Revision", int(b.router.Revision()))
+	set("Flows", b.router.Flows())
+	if b.uploads != nil {
+		set("Uploads", b.uploads.link.Active(b.settings.Clock()))
+	}
+	b.mu.Unlock()
+	if err := text.New(b.counts.registry, "wasabideal").Print(w); err != nil {
+		b.log.Warn("metrics not written", "Error", err)
+	}
+}
--- a/internal/metric/text/text.go
+++ b/internal/metric/text/text.go
@@ -30,6 +30,8 @@
 			values[name] = fmt.Sprint(x.Value())
 		case metrics.GaugeFloat64:
 			values[name] = fmt.Sprint(x.Value())
+		case metrics.Histogram:
+			printHistogram(values, name, x.Snapshot())
 		}
 	})
 	for _, name := range slices.Sorted(maps.Keys(values)) {
@@ -40,6 +42,20 @@
 	return nil
 }
 
+var quantiles = []struct {
+	name  string
+	share float64
+}{{"P50", 0.5}, {"P90", 0.9}, {"P99", 0.99}}
+
+// printHistogram writes the number of samples, their sum and quantiles.
+func printHistogram(values map[string]string, name string, h metrics.Histogram) {
+	values[name+"Count"] = fmt.Sprint(h.Count())
+	values[name+"Sum"] = fmt.Sprint(h.Sum())
+	for _, q := range quantiles {
+		values[name+q.name] = fmt.Sprint(h.Percentile(q.share))
+	}
+}
+
 // snake turns PascalCase into the lower case that scrapers expect.
 func snake(name string) string {
 	var b strings.Builder
