--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -12,29 +12,32 @@
 	"wasabideal/internal/wire/rpc"
 )
 
-// Method is the name of the call that balancers make.
-const Method = "Feed.Since"
+// The calls that balancers make.
+const (
+	// SinceMethod asks for news and waits for them.
+	SinceMethod = "Feed.Since"
+	// ConfigurationMethod asks for what leads from a held revision to the newest.
+	ConfigurationMethod = "Feed.Configuration"
+)
 
 // deltasKept is how many changes a balancer may miss and still get deltas.
 const deltasKept = 64
 
 // Question is what a balancer asks.
 type Question struct {
-	// Revision is the configuration held.
+	// Revision is the newest configuration that the balancer knows of.
 	Revision uint64
 	// Life and Version are those of the voter's directory that the balancer
 	// heard last.
 	Life, Version uint64
-	// Brief asks for no more than the revision where the whole configuration
-	// would have to be sent.
-	Brief bool
 	// Hold is how long the answer may wait for news.
 	Hold time.Duration
 }
 
 // Answer brings a balancer up to date.
 type Answer struct {
-	History history.Answer
+	// Revision is that of the newest configuration.
+	Revision uint64
 	// Life changes when the voter restarts.
 	Life    uint64
 	Version uint64
@@ -61,7 +64,10 @@
 
 // Serve adds the feed's method to a server.
 func (f *Feed) Serve(r *rpc.Server, token string) {
-	rpc.Handle(r, Method, token, func(ctx context.Context, q Question) (Answer, error) { return f.Since(ctx, q), nil })
+	rpc.Handle(r, SinceMethod, token, func(ctx context.Context, q Question) (Answer, error) { return f.Since(ctx, q), nil })
+	rpc.Handle(r, ConfigurationMethod, token, func(_ context.Context, revision uint64) (history.Answer, error) {
+		return f.Configuration(revision), nil
+	})
 }
 
 // Publish tells of a configuration; one that is not newer is ignored.
@@ -133,6 +139,13 @@
 	}
 }
 
+// Configuration returns what leads from a held revision to the newest.
+func (f *Feed) Configuration(revision uint64) history.Answer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.history.Since(revision)
+}
+
 func (f *Feed) answer(q Question) (Answer, bool, chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -141,12 +154,9 @@
 		version = 0
 	}
 	a := Answer{
-		History: f.history.Since(q.Revision), Life: f.life, Version: f.directory.Version(),
+		Revision: f.history.Current().Revision, Life: f.life, Version: f.directory.Version(),
 		Notices: f.directory.Since(f.clock(), version), Members: f.members,
 	}
-	if q.Brief && a.History.Whole != nil {
-		a.History.Whole = nil
-	}
-	news := q.Life != f.life || f.history.Current().Revision > q.Revision || a.Version > version
+	news := q.Life != f.life || a.Revision > q.Revision || a.Version > version
 	return a, news, f.changed
 }
--- /dev/null
+++ b/internal/cookie/follower/fetcher.go
@@ -0,0 +1,125 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"wasabideal/internal/configuration/history"
+	"wasabideal/internal/control/feed"
+	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/wire/rpc"
+)
+
+const (
+	// fetchTimeout bounds one fetch: a link of 2 Mbit/s that is busy otherwise
+	// takes about a second for a configuration of 2,000 routes.
+	fetchTimeout = 2 * time.Second
+	// fetchPause is the pause after a fetch that failed.
+	fetchPause = 50 * time.Millisecond
+)
+
+// fetcher gets configurations from one voter at a time.
+type fetcher struct {
+	token    string
+	listener Listener
+	log      hclog.Logger
+	mu       sync.Mutex
+	// told is the newest revision that each voter spoke of; tried counts the
+	// fetches from it since.
+	told  map[string]uint64
+	tried map[string]int
+	wake  chan struct{}
+}
+
+func newFetcher(token string, l Listener, log hclog.Logger) *fetcher {
+	return &fetcher{
+		token: token, listener: l, log: log, told: map[string]uint64{}, tried: map[string]int{}, wake: make(chan struct{}, 1),
+	}
+}
+
+// tell notes that a voter has a revision.
+func (f *fetcher) tell(address string, revision uint64) {
+	f.mu.Lock()
+	if revision > f.told[address] {
+		f.told[address], f.tried[address] = revision, 0
+	}
+	f.mu.Unlock()
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// next returns a voter that has more than what is held, least tried first, and
+// of those the one with the newest.
+func (f *fetcher) next(held uint64) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	best := ""
+	for address, revision := range f.told {
+		if revision <= held {
+			continue
+		}
+		fewer := f.tried[address] < f.tried[best]
+		if best == "" || fewer || f.tried[address] == f.tried[best] && revision > f.told[best] {
+			best = address
+		}
+	}
+	if best != "" {
+		f.tried[best]++
+	}
+	return best
+}
+
+func (f *fetcher) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.wake:
+		}
+		for address := f.next(f.listener.Held().Revision); address != ""; address = f.next(f.listener.Held().Revision) {
+			if err := f.fetch(ctx, address); err != nil {
+				f.log.Warn("configuration not fetched", "Address", address, "Error", err)
+				select {
+				case <-ctx.Done():
+					return
+				case <-time.After(fetchPause):
+				}
+			}
+		}
+	}
+}
+
+// fetch gets what leads from the held configuration to the voter's newest.
+func (f *fetcher) fetch(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	client := rpc.NewClient(address, f.token)
+	defer client.Close()
+	held := f.listener.Held()
+	c, err := ask(ctx, client, held, held.Revision)
+	var gap *history.GapError
+	var digest *history.DigestError
+	if errors.As(err, &gap) || errors.As(err, &digest) {
+		f.log.Warn("configuration cannot be followed", "Address", address, "Error", err)
+		c, err = ask(ctx, client, held, 0)
+	}
+	if err != nil {
+		return err
+	}
+	f.listener.Offered(address, c)
+	return nil
+}
+
+func ask(ctx context.Context, client *rpc.Client, held configuration.Configuration, revision uint64) (configuration.Configuration, error) {
+	a, err := rpc.Call[uint64, history.Answer](ctx, client, feed.ConfigurationMethod, revision)
+	if err != nil {
+		return held, err
+	}
+	return history.Follow(held, a)
+}
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -7,7 +7,6 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/wire/rpc"
@@ -32,8 +31,10 @@
 type Listener interface {
 	// Held returns the configuration in force.
 	Held() configuration.Configuration
-	// Answered takes one answer of the voter at an address.
-	Answered(address string, c configuration.Configuration, a feed.Answer)
+	// Offered takes a configuration of the voter at an address.
+	Offered(address string, c configuration.Configuration)
+	// Answered takes the news of the voter at an address.
+	Answered(address string, a feed.Answer)
 }
 
 // Follower asks all voters it knows.
@@ -46,8 +47,7 @@
 	ctx      context.Context
 	asking   map[string]bool
 	named    map[string]time.Time
-	// fetching holds one token while a whole configuration is on its way.
-	fetching chan struct{}
+	fetcher  *fetcher
 	running  sync.WaitGroup
 }
 
@@ -55,13 +55,18 @@
 func New(token string, clock func() time.Time, l Listener, log hclog.Logger) *Follower {
 	return &Follower{
 		token: token, clock: clock, log: log, listener: l, asking: map[string]bool{}, named: map[string]time.Time{},
-		fetching: make(chan struct{}, 1),
+		fetcher: newFetcher(token, l, log),
 	}
 }
 
 // Start begins to ask; it ends with the context.
 func (f *Follower) Start(ctx context.Context, sources []string) {
 	f.ctx = ctx
+	f.running.Add(1)
+	go func() {
+		defer f.running.Done()
+		f.fetcher.run(ctx)
+	}()
 	f.Name(sources)
 }
 
@@ -128,55 +133,16 @@
 }
 
 func (f *Follower) once(client *rpc.Client, address string, q *feed.Question) error {
-	held := f.listener.Held()
-	q.Revision, q.Hold, q.Brief = held.Revision, hold, true
+	q.Hold = hold
 	ctx, cancel := context.WithTimeout(f.ctx, hold+grace)
 	defer cancel()
-	a, err := rpc.Call[feed.Question, feed.Answer](ctx, client, feed.Method, *q)
+	a, err := rpc.Call[feed.Question, feed.Answer](ctx, client, feed.SinceMethod, *q)
 	if err != nil {
 		return err
 	}
-	next, err := history.Follow(held, a.History)
-	if err != nil {
-		f.log.Warn("configuration cannot be followed", "Address", address, "Error", err)
-	}
-	q.Life, q.Version = a.Life, a.Version
+	q.Revision, q.Life, q.Version = a.Revision, a.Life, a.Version
+	f.listener.Answered(address, a)
+	f.fetcher.tell(address, a.Revision)
 	f.Name(a.Members)
-	if err == nil && next.Revision >= a.History.Revision {
-		f.listener.Answered(address, next, a)
-		return nil
-	}
-	// The news of upstreams need not wait for the configuration.
-	f.listener.Answered(address, held, a)
-	if next, err = f.whole(ctx, client, *q, a.History.Revision); err != nil {
-		return err
-	}
-	f.listener.Answered(address, next, feed.Answer{Life: a.Life})
 	return nil
 }
-
-// wholeWait is how long a voter's configuration waits for another's that is on
-// its way: what a small VM's link takes for one of some hundred routes.
-const wholeWait = 300 * time.Millisecond
-
-// whole fetches the whole configuration, from one voter at a time: all voters'
-// at once would fill a small VM's link just when it starts.
-func (f *Follower) whole(ctx context.Context, client *rpc.Client, q feed.Question, revision uint64) (configuration.Configuration, error) {
-	wait := time.NewTimer(wholeWait)
-	defer wait.Stop()
-	select {
-	case f.fetching <- struct{}{}:
-		defer func() { <-f.fetching }()
-	case <-wait.C:
-	}
-	held := f.listener.Held()
-	if held.Revision >= revision {
-		return held, nil
-	}
-	q.Revision, q.Brief = 0, false
-	a, err := rpc.Call[feed.Question, feed.Answer](ctx, client, feed.Method, q)
-	if err != nil {
-		return held, err
-	}
-	return history.Follow(held, a.History)
-}
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -149,21 +149,30 @@
 	return b.held
 }
 
-// Answered takes a voter's answer.
-func (b *Balancer) Answered(address string, c configuration.Configuration, a feed.Answer) {
+// Offered puts a configuration in force if it is newer.
+func (b *Balancer) Offered(address string, c configuration.Configuration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.Revision <= b.held.Revision {
+		return
+	}
+	if err := b.router.Configure(c); err != nil {
+		b.log.Error("configuration refused", "Error", err)
+		return
+	}
+	b.held = c
+	b.log.Info("configuration in force", "Revision", c.Revision, "From", address, "Routes", len(c.Routes))
+	b.outdated = true
+	b.refresh(b.settings.Clock())
+}
+
+// Answered takes a voter's news.
+func (b *Balancer) Answered(address string, a feed.Answer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.settings.Clock()
 	b.view.Take(now, address, a.Life, a.Notices)
 	b.outdated = b.outdated || len(a.Notices) > 0
-	if c.Revision > b.held.Revision {
-		if err := b.router.Configure(c); err != nil {
-			b.log.Error("configuration refused", "Error", err)
-			return
-		}
-		b.held = c
-		b.log.Info("configuration in force", "Revision", c.Revision, "From", address, "Routes", len(c.Routes))
-	}
 	b.refresh(now)
 }
 
--- a/internal/model/configuration/route.go
+++ b/internal/model/configuration/route.go
@@ -23,6 +23,7 @@
 
 // Backend is one service of a split route and its share of new flows.
 type Backend struct {
+	_       struct{} `cbor:",toarray"`
 	Service string
 	// Weight is the share relative to the other backends of the route.
 	Weight int
@@ -30,11 +31,12 @@
 
 // Route is an address that callers use, and where its new flows go.
 type Route struct {
+	_       struct{} `cbor:",toarray"`
 	Name    string
 	Address netip.AddrPort
 	// Service takes all new flows, unless Split divides them.
-	Service string    `cbor:",omitempty"`
-	Split   []Backend `cbor:",omitempty"`
+	Service string
+	Split   []Backend
 	Class   Class
 	// Timeout is how long a caller waits for an answer.
 	Timeout time.Duration
