--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -27,6 +27,7 @@
 	Capacity capacityCommand `cmd:"" help:"Measure the slopes and write the capacity page."`
 	Load     loadCommand     `cmd:"" help:"Load running balancers with flows and requests."`
 	Demo     demoCommand     `cmd:"" help:"Play the whole path on loopback in one process, with failures."`
+	Soak     soakCommand     `cmd:"" help:"Play random runs of the real programs with faults."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -32,8 +33,11 @@
 
 // Settings of a control process.
 type Settings struct {
-	Name       string
-	Rpc        string
+	Name string
+	Rpc  string
+	// Advertise is the call address that others use, where it is not Rpc: behind
+	// an address translation, say.
+	Advertise  string
 	DataFolder string
 	Founders   []agreement.Voter
 	Heartbeat  time.Duration
@@ -134,7 +138,7 @@
 
 // others returns the call addresses of the other voters.
 func (c *Control) others() []string {
-	return lo.Without(c.voter.Members(), c.listener.Addr().String())
+	return lo.Without(c.voter.Members(), c.Advertised())
 }
 
 func (c *Control) voterSettings(id string) voter.Settings {
@@ -145,7 +149,7 @@
 	}
 	return voter.Settings{
 		Agreement: agreement.Settings{
-			Self:     agreement.Voter{Name: s.Name, Id: id, Address: c.listener.Addr().String()},
+			Self:     agreement.Voter{Name: s.Name, Id: id, Address: c.Advertised()},
 			Founders: s.Founders, Heartbeat: s.Heartbeat, Election: s.Election, Seed: seed,
 			EntriesPerMessage: entriesPerMessage, Joins: s.Joins, FirstElection: s.FirstElection,
 			Tolerate: s.Tolerate,
@@ -207,6 +211,9 @@
 // Upstreams returns what takes announcements of upstreams.
 func (c *Control) Upstreams() *upstreams.Upstreams { return c.upstreams }
 
+// Advertised returns where others call the voter.
+func (c *Control) Advertised() string { return cmp.Or(c.settings.Advertise, c.Address()) }
+
 // Address returns where the voter listens.
 func (c *Control) Address() string { return c.listener.Addr().String() }
 
--- /dev/null
+++ b/internal/soak/run/run.go
@@ -0,0 +1,408 @@
+package run
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"wasabideal/internal/cookie/router"
+	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/soak/fleet"
+	"wasabideal/internal/soak/proxy"
+)
+
+const (
+	voters = 3
+	// startTimeout bounds the start until the first flow opens.
+	startTimeout = 20 * time.Second
+	// settleFor is how long after the last fault everything must serve again.
+	settleFor = 12 * time.Second
+	// calmAfter is how long after a fault the bounds on time hold again.
+	calmAfter = 5 * time.Second
+	// readyEvery is how often the fabric checks balancers; two misses take one out.
+	readyEvery = 250 * time.Millisecond
+	missesMost = 2
+)
+
+// Result is what a run counted.
+type Result struct {
+	Seed                                   uint64
+	Opened, Unopened, Answered, Unanswered int
+	Faults, Published                      int
+	Broken                                 []string
+}
+
+// Run is one run.
+type Run struct {
+	settings  Settings
+	apis      []string
+	processes map[string]*fleet.Process
+	names     []string
+	balancers []string
+	proxies   []*proxy.Proxy
+	closers   []func()
+	running   sync.WaitGroup
+
+	mu       sync.Mutex
+	backends []*backend
+	gone     map[uint64]bool
+	// sent are the services that any configuration sent allows an address.
+	sent                                   map[netip.AddrPort]map[string]bool
+	requests                               map[string]int
+	acknowledged, published                uint64
+	ready                                  []string
+	result                                 Result
+	lastFault                              time.Time
+	ended                                  bool
+	opened, unopened, answered, unanswered int
+}
+
+// Play plays one run and returns what it counted; its promises' breaches are in
+// the result.
+func Play(s Settings) (Result, error) {
+	r := &Run{
+		settings: s, processes: map[string]*fleet.Process{}, gone: map[uint64]bool{}, requests: map[string]int{},
+		sent: map[netip.AddrPort]map[string]bool{}, lastFault: time.Now(), result: Result{Seed: s.Seed},
+	}
+	defer r.close()
+	if err := r.start(); err != nil {
+		return r.result, err
+	}
+	r.disturb()
+	r.checkRecovery()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+	r.result.Opened, r.result.Unopened = r.opened, r.unopened
+	r.result.Answered, r.result.Unanswered = r.answered, r.unanswered
+	r.result.Published = int(r.published)
+	return r.result, nil
+}
+
+func (r *Run) goRun(f func()) {
+	r.running.Add(1)
+	go func() {
+		defer r.running.Done()
+		f()
+	}()
+}
+
+func (r *Run) over() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended
+}
+
+func (r *Run) close() {
+	r.mu.Lock()
+	r.ended = true
+	r.mu.Unlock()
+	for _, p := range r.processes {
+		p.Resume()
+		p.Kill()
+	}
+	for _, b := range r.backends {
+		if !r.isGone(b.self.Incarnation) {
+			b.stop()
+		}
+	}
+	for _, p := range r.proxies {
+		p.Close()
+	}
+	for _, f := range r.closers {
+		f()
+	}
+	r.running.Wait()
+}
+
+// ip returns a loopback address of its own for a kind of machine.
+func ip(kind, zone, n int) string { return fmt.Sprintf("127.%d.%d.%d", kind, zone+1, n+1) }
+
+// The kinds of machines, as the second byte of their addresses.
+const (
+	kindVoter = 101 + iota
+	kindProxy
+	kindBalancer
+	kindUpstream
+	kindCaller
+)
+
+func (r *Run) start() error {
+	var seeds []string
+	for z := range voters {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", ip(kindProxy, z, 0), ApiPort))
+		r.apis = append(r.apis, fmt.Sprintf("%s:%d", ip(kindVoter, z, 0), ApiPort))
+	}
+	list := strings.Join(seeds, ",")
+	for z := range voters {
+		p, err := proxy.Listen(fmt.Sprintf("%s:%d", ip(kindProxy, z, 0), RpcPort), fmt.Sprintf("%s:%d", ip(kindVoter, z, 0), RpcPort))
+		if err != nil {
+			return err
+		}
+		r.proxies = append(r.proxies, p)
+		if err := r.startMachine(Machine{
+			Role: "voter", Name: fmt.Sprint("voter-", z), Zone: r.zone(z), Ip: ip(kindVoter, z, 0), Seeds: list,
+			Advertise: fmt.Sprintf("%s:%d", ip(kindProxy, z, 0), RpcPort), Founding: true,
+		}); err != nil {
+			return err
+		}
+	}
+	for n := range r.settings.Balancers {
+		z := n % r.settings.Zones
+		m := Machine{Role: "balancer", Name: fmt.Sprint("balancer-", n), Zone: r.zone(z), Ip: ip(kindBalancer, z, n), Seeds: list}
+		if err := r.startMachine(m); err != nil {
+			return err
+		}
+		r.balancers = append(r.balancers, m.Ip)
+	}
+	return r.startTraffic()
+}
+
+func (r *Run) zone(z int) string { return fmt.Sprint("zone-", z%r.settings.Zones) }
+
+func (r *Run) startMachine(m Machine) error {
+	m.Folder = filepath.Join(r.settings.Folder, m.Name)
+	if err := os.MkdirAll(m.Folder, 0o750); err != nil {
+		return fmt.Errorf("make folder: %w", err)
+	}
+	file := filepath.Join(r.settings.Folder, m.Name+".toml")
+	if err := os.WriteFile(file, []byte(r.settings.World.Settings(m)), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	p := &fleet.Process{
+		Name: m.Name, Program: r.settings.Program, Arguments: []string{"machine"},
+		Environment: []string{r.settings.World.Environment(file)}, Log: filepath.Join(r.settings.Folder, m.Name+".log"),
+	}
+	r.processes[m.Name] = p
+	r.names = append(r.names, m.Name)
+	if err := p.Start(); err != nil {
+		return err
+	}
+	// A machine that restarts later joins what runs already.
+	m.Founding = false
+	r.closers = append(r.closers, func() {})
+	return r.after(startTimeout/2, func() error {
+		return os.WriteFile(file, []byte(r.settings.World.Settings(m)), 0o600)
+	})
+}
+
+// after runs f later, and reports its error as a broken run.
+func (r *Run) after(d time.Duration, f func() error) error {
+	r.goRun(func() {
+		time.Sleep(d)
+		if err := f(); err != nil && !r.over() {
+			r.broken(PromiseExit, err.Error())
+		}
+	})
+	return nil
+}
+
+var services = []string{"orders", "notes"}
+
+func route(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), uint16(8000+n))
+}
+
+func (r *Run) startTraffic() error {
+	for n := range r.settings.Upstreams {
+		z := n % r.settings.Zones
+		b, err := r.startBackend(fmt.Sprintf("%s:%d", ip(kindUpstream, z, n), FabricPort), services[n%len(services)], r.zone(z))
+		if err != nil {
+			return err
+		}
+		r.backends = append(r.backends, b)
+	}
+	end := time.Now().Add(startTimeout)
+	for !r.publish() {
+		if time.Now().After(end) {
+			return &BrokenError{Promise: PromiseRecover, Detail: "the first configuration was not accepted"}
+		}
+	}
+	r.goRun(r.watchReadiness)
+	r.goRun(r.operate)
+	for n := range r.settings.Callers {
+		if err := r.startCaller(ip(kindCaller, n%r.settings.Zones, n)); err != nil {
+			return err
+		}
+	}
+	for r.answeredSoFar() == 0 {
+		if time.Now().After(end) {
+			return &BrokenError{Promise: PromiseRecover, Detail: "no request was answered at the start"}
+		}
+		time.Sleep(readyEvery)
+	}
+	return nil
+}
+
+func (r *Run) answeredSoFar() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answered
+}
+
+// publish sends the next configuration to some voter.
+func (r *Run) publish() bool {
+	r.mu.Lock()
+	r.published++
+	c := configuration.Configuration{Revision: r.published}
+	for _, s := range services {
+		c.Services = append(c.Services, configuration.Service{Name: s, Protocol: configuration.TCP, HealthPath: "/health"})
+	}
+	for n, s := range services {
+		x := configuration.Route{
+			Name: fmt.Sprint("route-", n), Address: route(n), Service: s, Class: configuration.Unrepeatable,
+			Timeout: time.Duration(1000+r.published) * time.Millisecond,
+		}
+		c.Routes = append(c.Routes, x)
+		r.sent[x.Address] = map[string]bool{s: true}
+	}
+	r.mu.Unlock()
+	for try := range r.apis {
+		api := r.apis[(int(c.Revision)+try)%len(r.apis)]
+		if r.settings.World.Publish(context.Background(), api, c) == nil {
+			r.mu.Lock()
+			r.acknowledged = max(r.acknowledged, c.Revision)
+			r.mu.Unlock()
+			return true
+		}
+	}
+	return false
+}
+
+// operate publishes and reads configurations all the while.
+func (r *Run) operate() {
+	for n := 0; !r.over(); n++ {
+		if n%3 == 0 {
+			r.publish()
+		}
+		for _, api := range r.apis {
+			r.checkRead(api)
+		}
+		time.Sleep(readyEvery)
+	}
+}
+
+// checkRead holds that no voter reads back less than was acknowledged before.
+func (r *Run) checkRead(api string) (uint64, bool) {
+	r.mu.Lock()
+	least := r.acknowledged
+	r.mu.Unlock()
+	got, err := r.settings.World.Read(context.Background(), api)
+	if err != nil {
+		return 0, false
+	}
+	if got < least {
+		r.broken(PromiseRevert, fmt.Sprintf("%s read %d where %d was acknowledged", api, got, least))
+	}
+	return got, true
+}
+
+func (r *Run) watchReadiness() {
+	misses := map[string]int{}
+	for !r.over() {
+		var ready []string
+		for _, b := range r.balancers {
+			if r.settings.World.Ready(context.Background(), fmt.Sprintf("%s:%d", b, ReadyPort)) {
+				misses[b] = 0
+			} else {
+				misses[b]++
+			}
+			if misses[b] < missesMost {
+				ready = append(ready, b)
+			}
+		}
+		r.mu.Lock()
+		r.ready = ready
+		r.mu.Unlock()
+		time.Sleep(readyEvery)
+	}
+}
+
+// rotation returns the balancers that the fabric uses: all where most are out.
+func (r *Run) rotation() []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := r.ready
+	if 2*len(list) < len(r.balancers) {
+		list = r.balancers
+	}
+	out := make([]netip.AddrPort, 0, len(list))
+	for _, b := range list {
+		out = append(out, netip.AddrPortFrom(netip.MustParseAddr(b), FabricPort))
+	}
+	return out
+}
+
+func (r *Run) someRoute() netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return route(r.opened % len(services))
+}
+
+func (r *Run) allowed(address netip.AddrPort, service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent[address][service]
+}
+
+func (r *Run) ran(request string) {
+	r.mu.Lock()
+	r.requests[request]++
+	twice := r.requests[request] > 1
+	r.mu.Unlock()
+	if twice {
+		r.broken(PromiseOnce, request)
+	}
+}
+
+func (r *Run) isGone(incarnation uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.gone[incarnation]
+}
+
+// flowReset holds that only flows of upstreams that ended are reset.
+func (r *Run) flowReset(cookie uint32) {
+	r.mu.Lock()
+	alive := false
+	for _, b := range r.backends {
+		alive = alive || router.Cookie(b.self.Incarnation) == cookie && !r.gone[b.self.Incarnation]
+	}
+	r.mu.Unlock()
+	if alive {
+		r.broken(PromiseFlow, fmt.Sprintf("flow with cookie %d was reset", cookie))
+	}
+}
+
+func (r *Run) count(n *int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*n++
+}
+
+// brokenMost bounds the breaches that are told in full.
+const brokenMost = 20
+
+func (r *Run) broken(promise, detail string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended || len(r.result.Broken) >= brokenMost {
+		return
+	}
+	r.result.Broken = append(r.result.Broken, (&BrokenError{Promise: promise, Detail: detail}).Error())
+}
+
+// calmSince returns the end of the last disturbance, as far as bounds on time go.
+func (r *Run) calmSince() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(r.lastFault) < calmAfter {
+		return time.Time{}
+	}
+	return time.Now()
+}
--- /dev/null
+++ b/internal/soak/run/upstreams.go
@@ -0,0 +1,165 @@
+package run
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"wasabideal/internal/model/upstream"
+)
+
+// leavingFor is how long after an acknowledged departure new flows may arrive,
+// where no process was disturbed meanwhile.
+const leavingFor = 3 * time.Second
+
+// answer is what an upstream tells a caller of the request that it ran.
+type answer struct {
+	Service     string
+	Incarnation uint64
+	Request     string
+}
+
+// backend is one upstream: its flows, and the announcements that it makes.
+type backend struct {
+	run  *Run
+	self upstream.Upstream
+	conn *net.UDPConn
+	mu   sync.Mutex
+	// flows are the sequences that callers have sent in full, by caller.
+	flows map[netip.AddrPort]*backendFlow
+	left  time.Time
+	done  chan struct{}
+}
+
+type backendFlow struct {
+	next     uint32
+	response Segment
+}
+
+func (r *Run) startBackend(address string, service, zone string) (*backend, error) {
+	a := netip.MustParseAddrPort(address)
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, fmt.Errorf("listen for upstream: %w", err)
+	}
+	b := &backend{run: r, conn: conn, flows: map[netip.AddrPort]*backendFlow{}, done: make(chan struct{})}
+	b.self = upstream.Upstream{
+		Identity: upstream.Identity{Service: service, Address: a, Incarnation: rand.Uint64() >> 24},
+		Zone:     zone, Slots: 2, State: upstream.Ready,
+	}
+	r.goRun(b.serve)
+	r.goRun(b.announce)
+	return b, nil
+}
+
+func (b *backend) stop() {
+	close(b.done)
+	_ = b.conn.Close()
+}
+
+// announce tells any voter of the upstream, again and again.
+func (b *backend) announce() {
+	for n := 0; ; n++ {
+		b.mu.Lock()
+		b.self.Sequence++
+		u := b.self
+		b.mu.Unlock()
+		for try := range b.run.apis {
+			api := b.run.apis[(n+try)%len(b.run.apis)]
+			if err := b.run.settings.World.Announce(context.Background(), api, u); err != nil {
+				continue
+			}
+			b.mu.Lock()
+			if u.State == upstream.Draining && b.left.IsZero() {
+				b.left = time.Now()
+			}
+			b.mu.Unlock()
+			break
+		}
+		select {
+		case <-b.done:
+			return
+		case <-time.After(AnnounceEvery):
+		}
+	}
+}
+
+func (b *backend) leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.self.State = upstream.Draining
+}
+
+func (b *backend) serve() {
+	buffer := make([]byte, 2048)
+	for {
+		n, err := b.conn.Read(buffer)
+		if err != nil {
+			return
+		}
+		p, meant, err := b.run.settings.World.Decode(buffer[:n], true)
+		if err != nil {
+			b.run.broken(PromiseOwn, err.Error())
+			continue
+		}
+		if meant != b.self.Incarnation {
+			continue
+		}
+		b.take(p)
+	}
+}
+
+func (b *backend) take(p Segment) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.run.allowed(p.Address, b.self.Service) {
+		b.run.broken(PromiseService, fmt.Sprintf("%s reached %s", p.Address, b.self.Service))
+		return
+	}
+	f := b.flows[p.Caller]
+	if p.Opening {
+		if !b.left.IsZero() && b.left.Add(leavingFor).Before(b.run.calmSince()) {
+			b.run.broken(PromiseLeaving, fmt.Sprintf("%x left at %s", b.self.Incarnation, b.left))
+		}
+		if f == nil {
+			f = &backendFlow{next: p.Sequence + 1}
+			b.flows[p.Caller] = f
+		}
+		b.reply(p, Segment{Open: true, Acknowledge: true}, f.next)
+		return
+	}
+	if f == nil {
+		reset := Segment{}
+		reset.Reset = true
+		b.reply(p, reset, p.Sequence)
+		return
+	}
+	if len(p.Data) == 0 {
+		return
+	}
+	if p.Sequence == f.next {
+		b.run.ran(string(p.Data))
+		f.next += uint32(len(p.Data))
+		data, err := json.Marshal(answer{Service: b.self.Service, Incarnation: b.self.Incarnation, Request: string(p.Data)})
+		if err != nil {
+			b.run.broken(PromiseOwn, err.Error())
+			return
+		}
+		f.response = Segment{Acknowledge: true, Data: data}
+	}
+	b.reply(p, f.response, f.next)
+}
+
+// reply sends a packet straight to the caller, with the cookie that came last.
+func (b *backend) reply(p, s Segment, acknowledged uint32) {
+	s.Caller, s.Address = p.Address, p.Caller
+	s.Cookie, s.Acknowledged, s.Sequence = p.Cookie, acknowledged, p.Acknowledged
+	to := netip.AddrPortFrom(p.Caller.Addr(), FabricPort)
+	// A caller that is gone does not matter here.
+	_, _ = b.conn.WriteToUDPAddrPort(b.run.settings.World.Encode(s), to)
+}
