--- a/internal/cookie/uplink/uplink.go
+++ b/internal/cookie/uplink/uplink.go
@@ -12,6 +12,11 @@
 	// pacedDelay is how long the window of a single upload is spread over: less
 	// than patience, so that no packet is repeated while it waits here.
 	pacedDelay = 140 * time.Millisecond
+	// narrowWait is how long a window takes on a link that needs pacing. On a
+	// wider one a whole window delays others less than zones are apart, while
+	// pacing would make a large upload late: with a link of 1,000 Mbit/s it
+	// raised the 99th percentile from 0.1 s to 3.4 s.
+	narrowWait = 20 * time.Millisecond
 	// linkShare is the part of the link that uploads may use together.
 	linkShare = 0.95
 	// activeFor is how long an upload counts as under way without a packet: more
@@ -63,6 +68,11 @@
 	return &Uplink[K, T]{bytesPerSecond: bytesPerSecond, uploads: map[K]time.Time{}}
 }
 
+// Narrow says whether a link of so many bytes a second needs pacing at all.
+func Narrow(bytesPerSecond float64) bool {
+	return bytesPerSecond > 0 && window/bytesPerSecond > narrowWait.Seconds()
+}
+
 // Limit is the number of uploads that may be under way at once: as many as
 // whole windows leave the link within patience.
 func (u *Uplink[K, T]) Limit() int {
--- a/internal/cookie/uplink/uplink_test.go
+++ b/internal/cookie/uplink/uplink_test.go
@@ -26,6 +26,16 @@
 	require.Equal(t, 1004, uplink.New[int, int](500*narrow).Limit())
 }
 
+// Symptom: uploads took seconds on a link that was nearly idle.
+// Events: callers upload bodies of 240 kB over a link of 1,000 Mbit/s.
+// Cause: each was paced as on a narrow link, where the waiting has to be kept
+// out of the link's own queue.
+func TestWideLinksAreNotPaced(t *testing.T) {
+	require.True(t, uplink.Narrow(narrow))
+	require.False(t, uplink.Narrow(500*narrow))
+	require.False(t, uplink.Narrow(0))
+}
+
 // Symptom: uploads took seconds, and short requests through the same entry VM
 // waited a quarter of a second.
 // Events: three callers start uploads through one link of 2 Mbit/s.
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -13,6 +13,7 @@
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/cookie/follower"
 	"wasabideal/internal/cookie/router"
+	"wasabideal/internal/cookie/uplink"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/upstream/view"
 	"wasabideal/internal/wire/datagram"
@@ -104,7 +105,7 @@
 		settings: s, log: log, socket: socket, counts: newCounts(),
 		view: view.New(view.Settings{ContactLease: contactLease, InheritFor: inheritFor, ForgetAfter: forgetAfter}),
 	}
-	if s.LinkBytesPerSecond > 0 {
+	if uplink.Narrow(s.LinkBytesPerSecond) {
 		b.uploads = newUploads(s.LinkBytesPerSecond)
 	}
 	b.router = router.New(router.Settings{
--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -103,7 +103,7 @@
 // allRead says that all voters answer reads, and so are in touch.
 func (r *Run) allRead() bool {
 	for _, api := range r.apis {
-		if _, ok := r.checkRead(api); !ok {
+		if !r.checkRead(api) {
 			return false
 		}
 	}
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -288,18 +288,18 @@
 }
 
 // checkRead holds that no voter reads back less than was acknowledged before.
-func (r *Run) checkRead(api string) (uint64, bool) {
+func (r *Run) checkRead(api string) bool {
 	r.mu.Lock()
 	least := r.acknowledged
 	r.mu.Unlock()
 	got, err := r.settings.World.Read(context.Background(), api)
 	if err != nil {
-		return 0, false
+		return false
 	}
 	if got < least {
 		r.broken(PromiseRevert, fmt.Sprintf("%s read %d where %d was acknowledged", api, got, least))
 	}
-	return got, true
+	return true
 }
 
 func (r *Run) watchReadiness() {
