--- /dev/null
+++ b/internal/cookie/waiting/waiting_test.go
@@ -0,0 +1,58 @@
+package waiting_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/cookie/waiting"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func take(w *waiting.Waiting[int, string], now time.Time) []string {
+	var out []string
+	w.Take(now, func(_ time.Time, s string) { out = append(out, s) })
+	return out
+}
+
+func TestNewestPacketOfAKeyIsKept(t *testing.T) {
+	w := waiting.New[int, string]()
+	w.Keep(epoch, epoch, 1, "opening")
+	w.Keep(epoch, epoch, 2, "other")
+	w.Keep(epoch.Add(200*time.Millisecond), epoch.Add(200*time.Millisecond), 1, "copy")
+	require.Equal(t, []string{"copy", "other"}, take(w, epoch.Add(300*time.Millisecond)))
+	require.Zero(t, w.Len())
+}
+
+func TestOldPacketsAreNotPlaced(t *testing.T) {
+	w := waiting.New[int, string]()
+	w.Keep(epoch, epoch, 1, "old")
+	w.Keep(epoch.Add(900*time.Millisecond), epoch.Add(900*time.Millisecond), 2, "new")
+	require.Equal(t, []string{"new"}, take(w, epoch.Add(1100*time.Millisecond)))
+}
+
+// Symptom: packets of a flow whose upstream nobody knows circled for ever.
+// Events: they are taken out, cannot be placed, and are kept again.
+// Cause: keeping them again made them young.
+func TestPacketsKeptAgainKeepTheirAge(t *testing.T) {
+	w := waiting.New[int, string]()
+	w.Keep(epoch, epoch, 1, "lost")
+	for n := range 12 {
+		now := epoch.Add(time.Duration(n) * 100 * time.Millisecond)
+		w.Take(now, func(arrived time.Time, s string) { w.Keep(now, arrived, 1, s) })
+	}
+	require.Zero(t, w.Len())
+}
+
+func TestRoomIsBounded(t *testing.T) {
+	w := waiting.New[int, string]()
+	n := 0
+	for w.Keep(epoch, epoch, n, "") {
+		n++
+		require.Less(t, n, 10_000)
+	}
+	later := epoch.Add(2 * time.Second)
+	require.True(t, w.Keep(later, later, n, ""), "what is too old makes room")
+}
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -14,6 +14,7 @@
 	"wasabideal/internal/cookie/follower"
 	"wasabideal/internal/cookie/router"
 	"wasabideal/internal/cookie/uplink"
+	"wasabideal/internal/cookie/waiting"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/upstream/view"
 	"wasabideal/internal/wire/datagram"
@@ -77,6 +78,8 @@
 	mu       sync.Mutex
 	router   *router.Router
 	view     *view.View
+	// early are packets that could not be placed yet.
+	early *waiting.Waiting[earlyKey, earlyPacket]
 	// uploads is nil where nothing is paced.
 	uploads *uploads
 	held    configuration.Configuration
@@ -103,7 +106,8 @@
 	}
 	b := &Balancer{
 		settings: s, log: log, socket: socket, counts: newCounts(),
-		view: view.New(view.Settings{ContactLease: contactLease, InheritFor: inheritFor, ForgetAfter: forgetAfter}),
+		early: waiting.New[earlyKey, earlyPacket](),
+		view:  view.New(view.Settings{ContactLease: contactLease, InheritFor: inheritFor, ForgetAfter: forgetAfter}),
 	}
 	if uplink.Narrow(s.LinkBytesPerSecond) {
 		b.uploads = newUploads(s.LinkBytesPerSecond)
@@ -189,6 +193,7 @@
 	b.outdated, b.drawn = false, now
 	targets := b.view.Targets(now)
 	b.router.SetTargets(targets)
+	b.placeEarly(now)
 	ready := b.held.Revision > 0 && len(targets) > 0
 	if ready != b.ready.Swap(ready) {
 		b.log.Info("readiness", "Ready", ready, "Revision", b.held.Revision, "Upstreams", len(targets))
@@ -251,7 +256,15 @@
 		b.reports.malformed(err)
 		return
 	}
+	b.carryOut(now, now, p, data)
+}
+
+// carryOut decides on a packet that arrived at a time, and does it.
+func (b *Balancer) carryOut(now, arrived time.Time, p router.Packet, data []byte) {
 	v := b.decide(now, p)
+	if v.Reason == router.Unconfigured || v.Reason == router.UnknownCookie {
+		b.keep(now, arrived, p, data)
+	}
 	b.counts.decisions[v.Reason].Inc(1)
 	b.reports.note(b.log, p, v)
 	switch v.Action {
