--- a/internal/control/agreement/agreement_test.go
+++ b/internal/control/agreement/agreement_test.go
@@ -345,7 +345,7 @@
 
 func (c *cluster) step(t *rapid.T, i int) {
 	n := c.nodes[rapid.SampledFrom(c.names).Draw(t, "node")]
-	switch rapid.IntRange(0, 11).Draw(t, "what") {
+	switch rapid.IntRange(0, 13).Draw(t, "what") {
 	case 0:
 		if n.up {
 			n.crash()
@@ -371,6 +371,14 @@
 		expect := n.ledger.Current().Revision
 		key := fmt.Sprintf("key-%d", i-rapid.IntRange(0, 3).Draw(t, "resend"))
 		_ = c.propose(n, key, expect, rapid.SampledFrom([]string{"a", "b", "none"}).Draw(t, "preset"))
+	case 10:
+		if n.up {
+			n.carryOut(n.state.HandOver(c.now))
+		}
+	case 11:
+		if commit := n.state.Commit(); n.up && commit > 0 {
+			n.persist(agreement.Persist{Commit: commit})
+		}
 	default:
 	}
 	c.run(time.Duration(rapid.IntRange(1, 30).Draw(t, "ticks")) * tick)
--- a/internal/control/agreement/election.go
+++ b/internal/control/agreement/election.go
@@ -77,7 +77,7 @@
 		a.receivePreVoteAnswer(now, m)
 		return
 	}
-	if m.Kind == RequestVote && a.trustsLeader(now) {
+	if m.Kind == RequestVote && a.trustsLeader(now) && !m.Granted {
 		// A majority that still hears its leader keeps it, and so keeps the
 		// promise that the leader's lease rests on.
 		return
@@ -100,6 +100,8 @@
 		a.receiveInstall(now, m)
 	case AppendAnswer:
 		a.receiveAppendAnswer(now, m)
+	case Elect:
+		a.receiveElect(now, m)
 	case Hello, Found, PreVote, PreVoteAnswer:
 	}
 }
@@ -222,15 +224,46 @@
 }
 
 func (a *Agreement) checkPreVotes(now time.Time) {
-	if a.votesCounted() < a.quorum() {
-		return
+	if a.votesCounted() >= a.quorum() {
+		a.campaign(now, false)
+	}
+}
+
+// HandOver lets a leader that is about to stop give up, and asks the follower
+// that has most of the log to take over: waiting for its silence to be noticed
+// would stop all changes for an election's time at each planned stop.
+func (a *Agreement) HandOver(now time.Time) []Effect {
+	a.effects = nil
+	if a.role != Leader {
+		return nil
+	}
+	followers := lo.Filter(a.voting(), func(v Voter, _ int) bool {
+		return v.Id != a.settings.Self.Id && a.silence(now, v) < a.settings.Election
+	})
+	a.stepDown(now, a.vote.Term)
+	if len(followers) > 0 {
+		next := lo.MaxBy(followers, func(x, y Voter) bool { return a.follow(x.Id).match > a.follow(y.Id).match })
+		a.send(Message{Kind: Elect, To: next.Id})
 	}
+	return a.effects
+}
+
+func (a *Agreement) receiveElect(now time.Time, m Message) {
+	if a.role == Follower && a.leader == m.From && a.mayVote() {
+		a.role = Candidate
+		a.campaign(now, true)
+	}
+}
+
+// campaign asks for votes in a new term; a handover has no leader to respect.
+func (a *Agreement) campaign(now time.Time, handover bool) {
 	a.preVoting = false
+	a.leader = ""
 	a.resetDeadline(now)
 	term := a.vote.Term + 1
 	a.votes = map[string]bool{}
 	requests := lo.Map(a.others(), func(v Voter, _ int) Message {
-		return Message{Kind: RequestVote, To: v.Id, Index: a.lastIndex(), LogTerm: a.lastTerm()}
+		return Message{Kind: RequestVote, To: v.Id, Index: a.lastIndex(), LogTerm: a.lastTerm(), Granted: handover}
 	})
 	// The own vote travels as a message too: it counts once it is synced.
 	requests = append(requests, Message{Kind: VoteAnswer, To: a.settings.Self.Id, Granted: true})
--- a/internal/control/agreement/members_test.go
+++ b/internal/control/agreement/members_test.go
@@ -110,3 +110,19 @@
 	require.Equal(t, uint64(2), alone.ledger.Current().Revision)
 	require.Nil(t, c.leader())
 }
+
+// Symptom: at each planned stop of the leading voter no change was accepted for
+// a second.
+// Events: the leader stops; the others notice its silence.
+// Cause: nobody was told, and the others respect a leader that was heard lately.
+func TestLeaderThatStopsHandsOver(t *testing.T) {
+	c := founded(t)
+	old := c.leader()
+	old.carryOut(old.state.HandOver(c.now))
+	c.run(600 * time.Millisecond) // the least silence before a vote is a second
+	require.NotNil(t, c.leader())
+	require.NotSame(t, old, c.leader())
+	require.NoError(t, c.propose(c.leader(), "next", 1, "b"))
+	c.run(time.Second)
+	require.Equal(t, uint64(2), old.ledger.Current().Revision, "the old one follows until it stops")
+}
--- a/internal/control/agreement/message.go
+++ b/internal/control/agreement/message.go
@@ -19,6 +19,9 @@
 	AppendAnswer
 	// Install carries a snapshot.
 	Install
+	// Elect asks a follower to take over from a leader that stops; votes that
+	// are requested for it are marked as Granted.
+	Elect
 )
 
 // Message is what voters send each other.
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -217,8 +217,11 @@
 // Address returns where the voter listens.
 func (c *Control) Address() string { return c.listener.Addr().String() }
 
-// Stop ends the process; a voter has nothing to hand over.
+// Stop ends the process; a leader hands over first.
 func (c *Control) Stop() {
+	if c.cancel != nil {
+		c.voter.HandOver()
+	}
 	if c.cancel != nil {
 		c.cancel()
 	}
