--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -80,5 +80,10 @@
 	To          netip.AddrPort
 	Incarnation uint64
 	Cookie      uint32
-	Revision    uint64
+	// Revision, Sequence and Live are what the decision rests on: the
+	// configuration, the upstream's last announcement, and whether a voter heard
+	// it lately.
+	Revision uint64
+	Sequence uint64
+	Live     bool
 }
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -122,6 +122,7 @@
 func (r *Router) forward(t *target, why Reason) Verdict {
 	return Verdict{
 		Action: Forward, Reason: why, To: t.Address, Incarnation: t.Incarnation, Cookie: t.cookie, Revision: r.revision,
+		Sequence: t.Sequence, Live: t.Live,
 	}
 }
 
--- a/internal/daemon/cookie/reports.go
+++ b/internal/daemon/cookie/reports.go
@@ -1,6 +1,7 @@
 package cookie
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -11,20 +12,22 @@
 const (
 	// reportEvery is the time between two summaries of what was not forwarded.
 	reportEvery = time.Second
-	// linesPerReport bounds the single decisions that are logged in that time,
-	// so that a storm of packets cannot fill the log or delay packets.
-	linesPerReport = 20
+	// placedMost and turnedMost bound the single decisions that are logged in
+	// that time, for flows that were placed and for packets that were not
+	// forwarded, so that a storm of packets cannot fill the log or delay packets.
+	placedMost = 20
+	turnedMost = 40
 )
 
 // reports logs decisions one by one up to a bound, and counts the rest.
 type reports struct {
-	since    time.Time
-	lines    int
-	counts   map[router.Reason]int
-	bad      int
-	badError error
-	sendLost int
-	sendErr  error
+	since          time.Time
+	placed, turned int
+	counts         map[router.Reason]int
+	bad            int
+	badError       error
+	sendLost       int
+	sendErr        error
 }
 
 // note logs a decision on an opening, or one that did not forward a packet.
@@ -36,13 +39,26 @@
 		r.counts = map[router.Reason]int{}
 	}
 	r.counts[v.Reason]++
-	if r.lines >= linesPerReport {
+	if !r.take(v.Action) {
 		return
 	}
-	r.lines++
 	log.Info("flow", "Caller", p.Caller.String(), "Address", p.Address.String(), "Copy", p.Copy,
 		"Action", v.Action.String(), "Reason", v.Reason.String(), "Cookie", p.Cookie,
-		"To", v.To.String(), "Revision", v.Revision)
+		"To", v.To.String(), "Incarnation", fmt.Sprintf("%x", v.Incarnation), "Sequence", v.Sequence, "Live", v.Live,
+		"Revision", v.Revision)
+}
+
+// take takes one line of the budget, if one is left.
+func (r *reports) take(a router.Action) bool {
+	spent, most := &r.turned, turnedMost
+	if a == router.Forward {
+		spent, most = &r.placed, placedMost
+	}
+	if *spent >= most {
+		return false
+	}
+	*spent++
+	return true
 }
 
 func (r *reports) malformed(err error) {
