--- a/internal/cookie/router/choose.go
+++ b/internal/cookie/router/choose.go
@@ -17,6 +17,10 @@
 	// zone may exceed one elsewhere: less traffic between zones, and a zone that
 	// is cut off has its flows where it can reach them.
 	spillLoad = 0.75
+	// uploadSpill is the same for uploads: one counts as load while its body is
+	// on the way, though it takes a slot for a few ms only, and its bytes are most
+	// of the traffic between zones.
+	uploadSpill = 4
 )
 
 // rank orders candidates: a lower one is taken before any higher one.
@@ -29,8 +33,8 @@
 	rankSilent
 )
 
-func (t *target) rank(now time.Time) rank {
-	switch suspected := t.suspected(now); {
+func (r *Router) rank(now time.Time, t *target) rank {
+	switch suspected := t.suspected(now) || r.zones[t.Zone].suspected(now); {
 	case t.Live && !suspected:
 		return rankHealthy
 	case t.Live || !suspected:
@@ -46,7 +50,11 @@
 
 // choose returns the upstream of a service for a new flow, nil where there is
 // none. Lower ranks go first, then the least load, with the own zone preferred.
-func (r *Router) choose(now time.Time, service string) *target {
+func (r *Router) choose(now time.Time, service string, class configuration.Class) *target {
+	spill := spillLoad
+	if class == configuration.Upload {
+		spill = uploadSpill
+	}
 	var best *target
 	var bestRank rank
 	var bestLoad float64
@@ -58,9 +66,9 @@
 	}
 	for i := range candidates {
 		t := candidates[(start+i)%len(candidates)]
-		k, load := t.rank(now), t.load(now)
+		k, load := r.rank(now, t), t.load(now)
 		if t.Zone != r.settings.Zone {
-			load += spillLoad
+			load += spill
 		}
 		if best == nil || k < bestRank || k == bestRank && load < bestLoad {
 			best, bestRank, bestLoad = t, k, load
--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -80,13 +80,13 @@
 	if f.opening {
 		f.opening = false
 		t.opening--
-		t.sawLife(now)
+		r.sawLife(now, t)
 		tell(r.settings.Opened, now.Sub(f.sent))
 		f.next, f.acknowledged = p.Sequence, p.Acknowledged
 	}
 	if int32(p.Acknowledged-f.acknowledged) > 0 {
 		f.acknowledged = p.Acknowledged
-		t.sawLife(now)
+		r.sawLife(now, t)
 		if f.working {
 			f.working = false
 			t.working--
@@ -112,8 +112,8 @@
 		}
 		return
 	}
-	if f.working && t.missed(now, f.sent) {
-		r.suspect(t)
+	if f.working {
+		r.missed(now, t, f.sent)
 	}
 }
 
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -31,6 +31,7 @@
 	cookies  map[uint32]*target
 	pools    map[string][]*target
 	flows    map[flowKey]*flow
+	zones    map[string]*suspicion
 	swept    time.Time
 	// turn moves on with each choice, so that equal upstreams take turns.
 	turn int
@@ -41,6 +42,7 @@
 	return &Router{
 		settings: s, routes: map[netip.AddrPort]configuration.Route{}, targets: map[uint64]*target{},
 		cookies: map[uint32]*target{}, pools: map[string][]*target{}, flows: map[flowKey]*flow{},
+		zones: map[string]*suspicion{},
 	}
 }
 
@@ -139,15 +141,15 @@
 	}
 	k := flowKey{p.Caller, p.Address}
 	if f := r.flows[k]; f != nil {
-		if f.opening && f.target.missed(now, f.sent) {
-			r.suspect(f.target)
+		if f.opening {
+			r.missed(now, f.target, f.sent)
 		}
 		if !f.target.Ended {
 			return r.forward(f.target, Repeated)
 		}
 		r.forget(k, f)
 	}
-	t := r.choose(now, pick(route.Backends(), k.number()))
+	t := r.choose(now, pick(route.Backends(), k.number()), route.Class)
 	if t == nil {
 		return Verdict{Action: Reset, Reason: NoUpstream, Revision: r.revision}
 	}
@@ -168,7 +170,28 @@
 	}
 }
 
-func (r *Router) suspect(t *target) {
+// sawLife notes an answer of an upstream.
+func (r *Router) sawLife(now time.Time, t *target) {
+	t.sawLife(now)
+	if z := r.zones[t.Zone]; z != nil {
+		z.sawLife(now)
+	}
+}
+
+// missed notes a packet to an upstream, first sent at a time, that had to be
+// repeated. Where nothing was heard of the other zone since, the zone is
+// suspected with it: a zone that is cut off would otherwise cost an opening for
+// each of its upstreams, again and again.
+func (r *Router) missed(now time.Time, t *target, first time.Time) {
+	if !t.missed(now, first) {
+		return
+	}
+	if t.Zone != r.settings.Zone {
+		if r.zones[t.Zone] == nil {
+			r.zones[t.Zone] = &suspicion{}
+		}
+		r.zones[t.Zone].missed(now, first)
+	}
 	if r.settings.Suspected != nil {
 		r.settings.Suspected(t.Target)
 	}
--- a/internal/cookie/router/router_test.go
+++ b/internal/cookie/router/router_test.go
@@ -176,6 +176,50 @@
 	require.Equal(t, uint64(1), r.Route(epoch, opening(20)).Incarnation, "better than none")
 }
 
+// Symptom: for the whole time of a zone's cut its callers lost some openings.
+// Events: a zone is cut off; the load spills to upstreams of other zones; each
+// of them is tried, and tried again when its suspicion has ended.
+// Cause: each upstream was suspected by itself.
+func TestZoneThatIsCutOffIsSuspectedAsAWhole(t *testing.T) {
+	r := newRouter(t, target(1, "orders", "a"), target(2, "orders", "b"), target(3, "orders", "b"), target(4, "orders", "c"))
+	far := router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(2), Sequence: 100, Acknowledged: 50}
+	r.Route(epoch, far)
+	far.Length = 300
+	r.Route(epoch, far)
+	later := epoch.Add(200 * time.Millisecond)
+	r.Route(later, far)
+	for n := range 20 {
+		v := r.Route(later, opening(10+n))
+		require.NotContains(t, []uint64{2, 3}, v.Incarnation)
+	}
+	alive := router.Packet{Caller: caller(2), Address: orders, Cookie: router.Cookie(3), Sequence: 1, Acknowledged: 1}
+	r.Route(later, alive)
+	alive.Acknowledged = 100
+	r.Route(later, alive)
+	counts := map[uint64]int{}
+	for n := range 20 {
+		counts[r.Route(later, opening(100+n)).Incarnation]++
+	}
+	require.NotZero(t, counts[3], "an answer from the zone ends its suspicion")
+	require.Zero(t, counts[2], "but not that of the upstream")
+}
+
+func TestUploadsStayInTheirZone(t *testing.T) {
+	r := router.New(router.Settings{Zone: "a"})
+	require.NoError(t, r.Configure(configuration.Configuration{Revision: 1, Routes: []configuration.Route{
+		{Name: "orders", Address: orders, Service: "orders", Class: configuration.Upload},
+	}}))
+	r.SetTargets([]view.Target{target(1, "orders", "a"), target(2, "orders", "b")})
+	for n := range 8 {
+		require.Equal(t, uint64(1), r.Route(epoch, opening(n)).Incarnation)
+	}
+	counts := map[uint64]int{}
+	for n := range 20 {
+		counts[r.Route(epoch, opening(50+n)).Incarnation]++
+	}
+	require.NotZero(t, counts[2], "within reason")
+}
+
 func TestSplitRouteKeepsItsWeights(t *testing.T) {
 	r := router.New(router.Settings{Zone: "a"})
 	require.NoError(t, r.Configure(configuration.Configuration{Revision: 1, Routes: []configuration.Route{{
--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -29,11 +29,7 @@
 	opening, working int
 	// flows counts the flows seen here lately.
 	flows int
-	// alive is the last sign of life, silentSince the sending of the first
-	// packet after it that stayed unanswered.
-	alive        time.Time
-	suspectUntil time.Time
-	suspectSpan  time.Duration
+	suspicion
 }
 
 // Cookie folds an incarnation into the word that the ends of a flow return; it
@@ -46,22 +42,31 @@
 	return c
 }
 
-func (t *target) suspected(now time.Time) bool { return now.Before(t.suspectUntil) }
+// suspicion is what missing answers say of an upstream, or of a whole zone.
+type suspicion struct {
+	// alive is the last sign of life.
+	alive time.Time
+	until time.Time
+	span  time.Duration
+}
+
+func (s *suspicion) suspected(now time.Time) bool { return s != nil && now.Before(s.until) }
 
 // sawLife notes an answer.
-func (t *target) sawLife(now time.Time) {
-	t.alive = now
-	t.suspectUntil = time.Time{}
-	t.suspectSpan = 0
+func (s *suspicion) sawLife(now time.Time) {
+	s.alive = now
+	s.until = time.Time{}
+	s.span = 0
 }
 
-// missed notes a packet, first sent at a time, that had to be repeated.
-func (t *target) missed(now, first time.Time) bool {
-	if t.suspected(now) || !t.alive.Before(first) || now.Sub(first) < answerTime {
+// missed notes a packet, first sent at a time, that had to be repeated, and
+// reports whether that is news.
+func (s *suspicion) missed(now, first time.Time) bool {
+	if s.suspected(now) || !s.alive.Before(first) || now.Sub(first) < answerTime {
 		return false
 	}
-	t.suspectSpan = min(max(2*t.suspectSpan, suspectFor), suspectMost)
-	t.suspectUntil = now.Add(t.suspectSpan)
+	s.span = min(max(2*s.span, suspectFor), suspectMost)
+	s.until = now.Add(s.span)
 	return true
 }
 
