--- a/internal/control/agreement/agreement.go
+++ b/internal/control/agreement/agreement.go
@@ -98,6 +98,7 @@
 	progress  map[string]*progress
 	hellos    map[string]hello
 	deadline  time.Time
+	// heardFrom is when a leader was heard last, or the start.
 	heardFrom time.Time
 	lastBeat  time.Time
 	random    *rand.Rand
@@ -113,7 +114,7 @@
 	a := &Agreement{
 		settings: s, role: Follower, vote: d.Vote, snapshot: d.Snapshot, entries: d.Entries,
 		voters: d.Snapshot.Voters, votersAt: d.Snapshot.Index,
-		commit: d.Snapshot.Index, applied: d.Snapshot.Index,
+		commit: d.Snapshot.Index, applied: d.Snapshot.Index, heardFrom: now,
 		progress: map[string]*progress{}, hellos: map[string]hello{},
 		random: rand.New(rand.NewPCG(s.Seed, uint64(len(s.Self.Id)))),
 	}
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -68,6 +68,10 @@
 	"Known", "Placed", "Repeated", "Unconfigured", "NoRoute", "NoUpstream", "UnknownCookie", "Ended", "Busy", "Stray",
 }
 
+// Early says that a packet that is dropped for the reason may be placed soon,
+// when more is known here.
+func (r Reason) Early() bool { return r == Unconfigured || r == UnknownCookie || r == NoUpstream }
+
 // String returns the reason's name as it stands in logs.
 func (r Reason) String() string { return reasonNames[r] }
 
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -33,6 +33,8 @@
 	flows    map[flowKey]*flow
 	zones    map[string]*suspicion
 	swept    time.Time
+	// drawn is when the upstreams were first told.
+	drawn time.Time
 	// turn moves on with each choice, so that equal upstreams take turns.
 	turn int
 }
@@ -70,8 +72,16 @@
 // Revision returns the revision in force, 0 before the first.
 func (r *Router) Revision() uint64 { return r.revision }
 
+// settleFor is how long after a start an upstream may not be known yet that is
+// there: one announcement's time, and a half. A reset in that time would turn
+// callers away for good that only came early.
+const settleFor = 1800 * time.Millisecond
+
 // SetTargets replaces the upstreams known; those that stay keep what was learnt.
-func (r *Router) SetTargets(targets []view.Target) {
+func (r *Router) SetTargets(now time.Time, targets []view.Target) {
+	if r.drawn.IsZero() {
+		r.drawn = now
+	}
 	kept := make(map[uint64]*target, len(targets))
 	r.pools = map[string][]*target{}
 	for _, x := range targets {
@@ -150,6 +160,9 @@
 		r.forget(k, f)
 	}
 	t := r.choose(now, pick(route.Backends(), k.number()), route.Class)
+	if t == nil && now.Sub(r.drawn) < settleFor {
+		return Verdict{Action: Drop, Reason: NoUpstream, Revision: r.revision}
+	}
 	if t == nil {
 		return Verdict{Action: Reset, Reason: NoUpstream, Revision: r.revision}
 	}
--- a/internal/cookie/router/router_test.go
+++ b/internal/cookie/router/router_test.go
@@ -39,7 +39,7 @@
 func newRouter(t require.TestingT, targets ...view.Target) *router.Router {
 	r := router.New(router.Settings{Zone: "a"})
 	require.NoError(t, r.Configure(configured(1)))
-	r.SetTargets(targets)
+	r.SetTargets(epoch.Add(-time.Minute), targets)
 	return r
 }
 
@@ -86,7 +86,7 @@
 
 func TestNothingIsPlacedBeforeAConfiguration(t *testing.T) {
 	r := router.New(router.Settings{Zone: "a"})
-	r.SetTargets([]view.Target{target(1, "orders", "a")})
+	r.SetTargets(epoch, []view.Target{target(1, "orders", "a")})
 	require.Equal(t, router.Verdict{Action: router.Drop, Reason: router.Unconfigured}, r.Route(epoch, opening(1)))
 }
 
@@ -104,6 +104,20 @@
 	require.Equal(t, router.NoUpstream, v.Reason)
 }
 
+// Symptom: after a loss of power callers were turned away although the upstreams
+// that they wanted ran.
+// Events: a balancer starts; the first voter to answer has not heard any
+// upstream of one service yet.
+// Cause: what was not known yet was taken for gone.
+func TestUpstreamsThatAreNotKnownYetAreWaitedFor(t *testing.T) {
+	r := router.New(router.Settings{Zone: "a"})
+	require.NoError(t, r.Configure(configured(1)))
+	r.SetTargets(epoch, []view.Target{target(2, "notes", "a")})
+	v := r.Route(epoch.Add(time.Second), opening(1))
+	require.Equal(t, router.Verdict{Action: router.Drop, Reason: router.NoUpstream, Revision: 1}, v)
+	require.Equal(t, router.Reset, r.Route(epoch.Add(2*time.Second), opening(1)).Action)
+}
+
 // Symptom: packets of a bay booking flow reached an upstream of another service.
 // Events: two upstreams' incarnations fold into one cookie; a flow is open at
 // the older one when the younger one announces itself.
@@ -114,7 +128,7 @@
 	require.Equal(t, router.Cookie(1), router.Cookie(twin))
 	r := newRouter(t, target(1, "orders", "a"))
 	younger := target(twin, "notes", "a")
-	r.SetTargets([]view.Target{target(1, "orders", "a"), younger})
+	r.SetTargets(epoch, []view.Target{target(1, "orders", "a"), younger})
 	require.Equal(t, uint64(1), r.Route(epoch, router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(1)}).Incarnation)
 	v := r.Route(epoch, router.Packet{Caller: caller(2), Address: notes, Opening: true})
 	require.Equal(t, router.NoUpstream, v.Reason)
@@ -172,7 +186,7 @@
 	for n := range 10 {
 		require.Equal(t, uint64(2), r.Route(epoch, opening(n)).Incarnation)
 	}
-	r.SetTargets([]view.Target{silent})
+	r.SetTargets(epoch, []view.Target{silent})
 	require.Equal(t, uint64(1), r.Route(epoch, opening(20)).Incarnation, "better than none")
 }
 
@@ -209,7 +223,7 @@
 	require.NoError(t, r.Configure(configuration.Configuration{Revision: 1, Routes: []configuration.Route{
 		{Name: "orders", Address: orders, Service: "orders", Class: configuration.Upload},
 	}}))
-	r.SetTargets([]view.Target{target(1, "orders", "a"), target(2, "orders", "b")})
+	r.SetTargets(epoch, []view.Target{target(1, "orders", "a"), target(2, "orders", "b")})
 	for n := range 8 {
 		require.Equal(t, uint64(1), r.Route(epoch, opening(n)).Incarnation)
 	}
@@ -226,7 +240,7 @@
 		Name: "split", Address: orders,
 		Split: []configuration.Backend{{Service: "orders", Weight: 90}, {Service: "notes", Weight: 10}},
 	}}}))
-	r.SetTargets([]view.Target{target(1, "orders", "a"), target(2, "notes", "a")})
+	r.SetTargets(epoch, []view.Target{target(1, "orders", "a"), target(2, "notes", "a")})
 	counts := map[uint64]int{}
 	for n := range 5000 {
 		v := r.Route(epoch, opening(n))
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -192,7 +192,7 @@
 	}
 	b.outdated, b.drawn = false, now
 	targets := b.view.Targets(now)
-	b.router.SetTargets(targets)
+	b.router.SetTargets(now, targets)
 	b.placeEarly(now)
 	ready := b.held.Revision > 0 && len(targets) > 0
 	if ready != b.ready.Swap(ready) {
@@ -262,7 +262,7 @@
 // carryOut decides on a packet that arrived at a time, and does it.
 func (b *Balancer) carryOut(now, arrived time.Time, p router.Packet, data []byte) {
 	v := b.decide(now, p)
-	if v.Reason == router.Unconfigured || v.Reason == router.UnknownCookie {
+	if v.Action == router.Drop && v.Reason.Early() {
 		b.keep(now, arrived, p, data)
 	}
 	b.counts.decisions[v.Reason].Inc(1)
--- a/internal/daemon/cookie/reports.go
+++ b/internal/daemon/cookie/reports.go
@@ -42,10 +42,15 @@
 	if !r.take(v.Action) {
 		return
 	}
-	log.Info("flow", "Caller", p.Caller.String(), "Address", p.Address.String(), "Copy", p.Copy,
-		"Action", v.Action.String(), "Reason", v.Reason.String(), "Cookie", p.Cookie,
-		"To", v.To.String(), "Incarnation", fmt.Sprintf("%x", v.Incarnation), "Sequence", v.Sequence, "Live", v.Live,
-		"Revision", v.Revision)
+	args := []any{
+		"Caller", p.Caller.String(), "Address", p.Address.String(), "Copy", p.Copy, "Action", v.Action.String(),
+		"Reason", v.Reason.String(), "Cookie", p.Cookie, "Revision", v.Revision,
+	}
+	if v.Action == router.Forward {
+		args = append(args, "To", v.To.String(), "Incarnation", fmt.Sprintf("%x", v.Incarnation),
+			"Sequence", v.Sequence, "Live", v.Live)
+	}
+	log.Info("flow", args...)
 }
 
 // take takes one line of the budget, if one is left.
