--- a/internal/control/agreement/agreement.go
+++ b/internal/control/agreement/agreement.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/lo"
 )
 
@@ -168,64 +167,6 @@
 	return v
 }
 
-// Current says that this voter leads with a lease, and so knows every
-// accepted change: a majority promised to elect nobody else until it ends.
-func (a *Agreement) Current(now time.Time) bool {
-	return a.role == Leader && a.commit >= a.leaderFrom && now.Before(a.leaseEnd(now))
-}
-
-// leaseShare keeps the lease shorter than the others' promise, against clocks
-// that run at different speeds.
-const leaseShare = 0.8
-
-func (a *Agreement) leaseEnd(now time.Time) time.Time {
-	return a.confirmed(now).Add(time.Duration(float64(a.settings.Election) * leaseShare))
-}
-
-// ConfirmedSince says that this voter still led after the given time: a
-// majority answered a message that was sent later. A lease alone would not do
-// for reads: a VM that was suspended does not know that its lease ran out.
-func (a *Agreement) ConfirmedSince(now, since time.Time) bool {
-	return a.role == Leader && a.commit >= a.leaderFrom && !a.confirmed(now).Before(since)
-}
-
-// Confirm asks the followers for answers without waiting for the next heartbeat.
-func (a *Agreement) Confirm(now time.Time) []Effect {
-	a.effects = nil
-	if a.role == Leader {
-		for _, v := range a.others() {
-			if p := a.follow(v.Id); !p.pending {
-				a.replicate(now, v.Id, p)
-			}
-		}
-	}
-	return a.effects
-}
-
-// Commit returns the index up to which entries are known to be accepted.
-func (a *Agreement) Commit() uint64 { return a.commit }
-
-// confirmed returns the latest sending time that a majority answered.
-func (a *Agreement) confirmed(now time.Time) time.Time {
-	times := lo.FilterMap(a.voters, func(v Voter, _ int) (time.Time, bool) {
-		switch p := a.progress[v.Id]; {
-		case v.Learner:
-			return time.Time{}, false
-		case v.Id == a.settings.Self.Id:
-			return now, true
-		case p == nil:
-			return time.Time{}, true
-		default:
-			return p.answered, true
-		}
-	})
-	if len(times) == 0 {
-		return time.Time{}
-	}
-	slices.SortFunc(times, func(x, y time.Time) int { return y.Compare(x) })
-	return times[len(times)/2]
-}
-
 // Reduce applies one event and returns what must be done, in order.
 func (a *Agreement) Reduce(now time.Time, e Event) []Effect {
 	a.effects = nil
@@ -327,23 +268,6 @@
 	a.persist(Persist{Vote: &v, Then: then})
 }
 
-func (a *Agreement) self() Voter { return a.voter(a.settings.Self.Id) }
-
-// mayVote is false for a voter that is not in the list: one with a replaced
-// disk has forgotten its votes and entries, and must not vote them away.
-func (a *Agreement) mayVote() bool {
-	v := a.self()
-	return v.Id != "" && !v.Learner
-}
-
-func (a *Agreement) others() []Voter {
-	return lo.Filter(a.voters, func(v Voter, _ int) bool { return v.Id != a.settings.Self.Id })
-}
-
-func (a *Agreement) quorum() int { return a.quorumOf(len(a.voting())) }
-
-func (a *Agreement) quorumOf(voters int) int { return voters/2 + 1 }
-
 func (a *Agreement) tick(now time.Time) {
 	switch {
 	case a.role == Unfounded || !a.mayVote():
@@ -355,25 +279,6 @@
 	}
 }
 
-// noteVoters puts a list of voters in force as soon as it is in the log.
-func (a *Agreement) noteVoters(e Entry) {
-	if e.Kind != Voters {
-		return
-	}
-	var vs []Voter
-	if err := cbor.Unmarshal(e.Data, &vs); err == nil {
-		a.voters, a.votersAt = vs, e.Index
-	}
-}
-
-// findVoters looks up the list in force after entries were cut off.
-func (a *Agreement) findVoters() {
-	a.voters, a.votersAt = a.snapshot.Voters, a.snapshot.Index
-	for _, e := range a.entries {
-		a.noteVoters(e)
-	}
-}
-
 func (a *Agreement) apply() {
 	for a.applied < a.commit {
 		a.applied++
@@ -400,16 +305,6 @@
 	a.persist(Persist{Vote: &v, Snapshot: &s, Entries: a.entries, Then: then})
 }
 
-func (a *Agreement) votersUpTo(index uint64) []Voter {
-	vs := a.snapshot.Voters
-	for _, e := range a.entries {
-		if e.Index <= index && e.Kind == Voters {
-			_ = cbor.Unmarshal(e.Data, &vs)
-		}
-	}
-	return vs
-}
-
 // persisted counts this voter's own disk towards the majority.
 func (a *Agreement) persisted(now time.Time, index uint64) {
 	a.durable = max(a.durable, min(index, a.lastIndex()))
@@ -417,45 +312,3 @@
 		a.advance(now)
 	}
 }
-
-// helloFor is how long a voter counts as known that is not in the list.
-const helloFor = 30 * time.Second
-
-// Addresses returns where the voters listen that are in the list or said hello
-// lately, in order, this one included.
-func (a *Agreement) Addresses(now time.Time) []string {
-	known := []string{a.settings.Self.Address}
-	for _, v := range a.voters {
-		known = append(known, v.Address)
-	}
-	for _, h := range a.hellos {
-		if now.Sub(h.heard) < helloFor {
-			known = append(known, h.voter.Address)
-		}
-	}
-	slices.Sort(known)
-	return slices.Compact(known)
-}
-
-// Meet adds a voter to those that are asked to take this one in.
-func (a *Agreement) Meet(v Voter) {
-	if !lo.ContainsBy(a.settings.Meet, func(o Voter) bool { return o.Name == v.Name }) {
-		a.settings.Meet = append(slices.Clone(a.settings.Meet), v)
-	}
-}
-
-// AddressOf returns the address of a voter that said hello, by its id, or of
-// one to ask for admission, by its name.
-func (a *Agreement) AddressOf(id string) string {
-	for _, h := range a.hellos {
-		if h.voter.Id == id {
-			return h.voter.Address
-		}
-	}
-	for _, v := range a.settings.Meet {
-		if v.Name == id {
-			return v.Address
-		}
-	}
-	return ""
-}
--- a/internal/control/voter/metrics.go
+++ b/internal/control/voter/metrics.go
@@ -7,42 +7,31 @@
 	"github.com/rcrowley/go-metrics"
 
 	"wasabideal/internal/control/agreement"
+	"wasabideal/internal/metric/latency"
 	"wasabideal/internal/metric/text"
 )
 
-// samples is the number of latencies from which quantiles are told, the newest
-// weighted most.
-const (
-	samples    = 512
-	sampleBias = 0.015
-)
-
 // counts are the voter's metrics.
 type counts struct {
 	registry                metrics.Registry
 	applied, failedWrites   metrics.Counter
-	accepting, syncing      metrics.Histogram
+	accepting, syncing      latency.Latency
 	readsDone, readsRefused metrics.Counter
 }
 
 func newCounts() *counts {
 	r := metrics.NewRegistry()
-	histogram := func(name string) metrics.Histogram {
-		return metrics.NewRegisteredHistogram(name, r, metrics.NewExpDecaySample(samples, sampleBias))
-	}
 	return &counts{
 		registry:     r,
 		applied:      metrics.NewRegisteredCounter("ChangesAppliedTotal", r),
 		failedWrites: metrics.NewRegisteredCounter("DiskFailuresTotal", r),
 		readsDone:    metrics.NewRegisteredCounter("ReadsConfirmedTotal", r),
 		readsRefused: metrics.NewRegisteredCounter("ReadsRefusedTotal", r),
-		accepting:    histogram("AcceptMicroseconds"),
-		syncing:      histogram("DiskSyncMicroseconds"),
+		accepting:    latency.New("Accept", r),
+		syncing:      latency.New("DiskSync", r),
 	}
 }
 
-func since(h metrics.Histogram, begun, now time.Time) { h.Update(now.Sub(begun).Microseconds()) }
-
 // ServeMetrics answers with the metrics as text.
 func (v *Voter) ServeMetrics(w http.ResponseWriter, _ *http.Request) {
 	r := v.Report()
--- a/internal/control/voter/operator.go
+++ b/internal/control/voter/operator.go
@@ -24,7 +24,7 @@
 	defer timeout.Stop()
 	select {
 	case a := <-w:
-		since(v.counts.accepting, begun, v.settings.Clock())
+		v.counts.accepting.Record(v.settings.Clock().Sub(begun))
 		return a, nil
 	case <-timeout.C:
 	case <-ctx.Done():
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -256,7 +256,7 @@
 		case x.Persist != nil:
 			begun := v.settings.Clock()
 			err := v.wal.Write(*x.Persist)
-			since(v.counts.syncing, begun, v.settings.Clock())
+			v.counts.syncing.Record(v.settings.Clock().Sub(begun))
 			if err != nil {
 				v.counts.failedWrites.Inc(1)
 				v.log.Error("voter is read-only now", "Error", err)
--- /dev/null
+++ b/internal/cookie/follower/follower_test.go
@@ -0,0 +1,157 @@
+package follower_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/configuration/history"
+	"wasabideal/internal/control/feed"
+	"wasabideal/internal/cookie/follower"
+	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/upstream/directory"
+	"wasabideal/internal/wire/rpc"
+)
+
+// voter answers a follower's questions as a real one does.
+type voter struct {
+	address string
+	feed    *feed.Feed
+	mu      sync.Mutex
+	fetched int
+	// stuck voters never answer with a configuration.
+	stuck bool
+}
+
+func startVoter(t *testing.T, life uint64) *voter {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	v := &voter{
+		address: l.Addr().String(),
+		feed:    feed.New(life, directory.New(directory.Settings{SilentAfter: time.Minute, ForgetAfter: time.Hour}), time.Now),
+	}
+	s := rpc.NewServer(func(string) {})
+	rpc.Handle(s, feed.SinceMethod, "group", func(ctx context.Context, q feed.Question) (feed.Answer, error) {
+		return v.feed.Since(ctx, q), nil
+	})
+	rpc.Handle(s, feed.ConfigurationMethod, "group", func(ctx context.Context, revision uint64) (history.Answer, error) {
+		v.mu.Lock()
+		v.fetched++
+		stuck := v.stuck
+		v.mu.Unlock()
+		if stuck {
+			<-ctx.Done()
+		}
+		return v.feed.Configuration(revision), nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(ctx, l)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		_ = l.Close()
+		<-done
+	})
+	return v
+}
+
+func (v *voter) fetches() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fetched
+}
+
+// listener keeps what it was told.
+type listener struct {
+	mu      sync.Mutex
+	held    configuration.Configuration
+	notices map[string]int
+}
+
+func (l *listener) Held() configuration.Configuration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held
+}
+
+func (l *listener) Offered(_ string, c configuration.Configuration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = c
+}
+
+func (l *listener) Answered(address string, a feed.Answer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notices[address] += len(a.Notices)
+}
+
+func (l *listener) heard(address string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.notices[address]
+}
+
+func follow(t *testing.T, addresses ...string) *listener {
+	l := &listener{notices: map[string]int{}}
+	f := follower.New("group", time.Now, l, hclog.NewNullLogger())
+	ctx, cancel := context.WithCancel(context.Background())
+	f.Start(ctx, addresses)
+	t.Cleanup(func() {
+		cancel()
+		f.Wait()
+	})
+	return l
+}
+
+func eventually(t *testing.T, f func() bool) {
+	require.Eventually(t, f, 20*time.Second, 5*time.Millisecond)
+}
+
+// Symptom: after a change of 1,400 routes balancers heard of no departure for
+// more than a second.
+// Events: each voter's answer carried the change, over a link that takes half a
+// second for one of them.
+// Cause: the configuration came from all voters at once, and before the news.
+func TestConfigurationComesFromOneVoter(t *testing.T) {
+	a, b, c := startVoter(t, 1), startVoter(t, 2), startVoter(t, 3)
+	l := follow(t, a.address, b.address, c.address)
+	for revision := uint64(1); revision <= 3; revision++ {
+		for _, v := range []*voter{a, b, c} {
+			v.feed.Publish(configuration.Configuration{Revision: revision})
+		}
+		eventually(t, func() bool { return l.Held().Revision == revision })
+	}
+	require.LessOrEqual(t, a.fetches()+b.fetches()+c.fetches(), 6, "not nine: one for each change, or two in a race")
+}
+
+func TestStuckVoterDoesNotKeepTheConfigurationAway(t *testing.T) {
+	a, b := startVoter(t, 1), startVoter(t, 2)
+	a.stuck = true
+	l := follow(t, a.address)
+	a.feed.Publish(configuration.Configuration{Revision: 7})
+	eventually(t, func() bool { return a.fetches() > 0 })
+	a.feed.SetMembers([]string{a.address, b.address})
+	b.feed.Publish(configuration.Configuration{Revision: 7})
+	eventually(t, func() bool { return l.Held().Revision == 7 })
+}
+
+func TestNewsDoNotWaitForTheConfiguration(t *testing.T) {
+	a := startVoter(t, 1)
+	a.stuck = true
+	l := follow(t, a.address)
+	a.feed.Publish(configuration.Configuration{Revision: 7})
+	eventually(t, func() bool { return a.fetches() > 0 })
+	a.feed.Announce(time.Now(), upstream.Upstream{Identity: upstream.Identity{Incarnation: 5}, Sequence: 1}, 0)
+	eventually(t, func() bool { return l.heard(a.address) == 1 })
+	require.Zero(t, l.Held().Revision)
+}
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -113,7 +113,7 @@
 		b.uploads = newUploads(s.LinkBytesPerSecond)
 	}
 	b.router = router.New(router.Settings{
-		Zone: s.Zone, Suspected: b.suspected, Opened: record(b.counts.opened), Answered: record(b.counts.answered),
+		Zone: s.Zone, Suspected: b.suspected, Opened: b.counts.opened.Record, Answered: b.counts.answered.Record,
 	})
 	b.follower = follower.New(s.Token, s.Clock, b, log)
 	return b, nil
@@ -296,34 +296,3 @@
 	}
 	return &b.buffers[b.used]
 }
-
-// Stop ends the process in the planned way: readiness fails first, and packets
-// are forwarded until the fabric sends none any more.
-func (b *Balancer) Stop() {
-	b.leaving.Store(true)
-	begun := b.settings.Clock()
-	b.log.Info("leaving", "Timeout", b.settings.StopTimeout.String())
-	t := time.NewTicker(tick)
-	defer t.Stop()
-	for range t.C {
-		now := b.settings.Clock()
-		if spent := now.Sub(begun); spent >= b.settings.StopTimeout || spent >= leaveFirst && b.quiet(now) {
-			break
-		}
-	}
-	b.Kill()
-}
-
-func (b *Balancer) quiet(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return now.Sub(b.lastPacket) >= quietStop
-}
-
-// Kill ends the process at once.
-func (b *Balancer) Kill() {
-	b.cancel()
-	b.socket.Close()
-	b.follower.Wait()
-	b.running.Wait()
-}
--- a/internal/daemon/cookie/counts.go
+++ b/internal/daemon/cookie/counts.go
@@ -2,21 +2,14 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"wasabideal/internal/cookie/router"
+	"wasabideal/internal/metric/latency"
 	"wasabideal/internal/metric/text"
 )
 
-// samples is the number of latencies from which quantiles are told, the newest
-// weighted most: some minutes' worth of one balancer.
-const (
-	samples    = 512
-	sampleBias = 0.015
-)
-
 // counts are the balancer's metrics.
 type counts struct {
 	registry         metrics.Registry
@@ -24,7 +17,7 @@
 	malformed        metrics.Counter
 	sendErrors       metrics.Counter
 	suspicions       metrics.Counter
-	opened, answered metrics.Histogram
+	opened, answered latency.Latency
 }
 
 func newCounts() *counts {
@@ -34,8 +27,8 @@
 		malformed:  metrics.NewRegisteredCounter("DatagramsMalformedTotal", r),
 		sendErrors: metrics.NewRegisteredCounter("SendErrorsTotal", r),
 		suspicions: metrics.NewRegisteredCounter("SuspicionsTotal", r),
-		opened:     metrics.NewRegisteredHistogram("OpeningMicroseconds", r, metrics.NewExpDecaySample(samples, sampleBias)),
-		answered:   metrics.NewRegisteredHistogram("AnswerMicroseconds", r, metrics.NewExpDecaySample(samples, sampleBias)),
+		opened:     latency.New("Opening", r),
+		answered:   latency.New("Answer", r),
 	}
 	for reason := router.Known; reason <= router.Stray; reason++ {
 		c.decisions[reason] = metrics.NewRegisteredCounter("Packets"+reason.String()+"Total", r)
@@ -43,10 +36,6 @@
 	return c
 }
 
-func record(h metrics.Histogram) func(time.Duration) {
-	return func(d time.Duration) { h.Update(d.Microseconds()) }
-}
-
 // ServeMetrics answers with the metrics as text.
 func (b *Balancer) ServeMetrics(w http.ResponseWriter, _ *http.Request) {
 	b.mu.Lock()
