--- /dev/null
+++ b/internal/daemon/cookie/cookie_test.go
@@ -0,0 +1,189 @@
+package cookie_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/control/agreement"
+	"wasabideal/internal/cookie/router"
+	"wasabideal/internal/daemon/control"
+	"wasabideal/internal/daemon/cookie"
+	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/upstream"
+)
+
+// plain is a codec of JSON packets.
+type plain struct{}
+
+func (plain) Decode(b []byte) (router.Packet, error) {
+	var p router.Packet
+	if err := json.Unmarshal(b, &p); err != nil {
+		return p, err
+	}
+	return p, nil
+}
+
+func (plain) Forward(buffer, data []byte, v router.Verdict) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return buffer
+	}
+	return append(buffer, b...)
+}
+
+func (plain) Reset(buffer []byte, p router.Packet) (netip.AddrPort, []byte) {
+	return p.Caller, append(buffer, "reset"...)
+}
+
+func listenUDP(t *testing.T) *net.UDPConn {
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func addressOf(c *net.UDPConn) netip.AddrPort { return c.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// receive returns the next datagram within a while.
+func receive(c *net.UDPConn, d time.Duration) ([]byte, bool) {
+	b := make([]byte, 2048)
+	if err := c.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return nil, false
+	}
+	n, err := c.Read(b)
+	return b[:n], err == nil
+}
+
+func startVoter(t *testing.T) *control.Control {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	self := agreement.Voter{Name: "v1", Address: l.Addr().String()}
+	c, err := control.Listen(control.Settings{
+		Name: "v1", DataFolder: t.TempDir(), Founders: []agreement.Voter{self}, Heartbeat: 10 * time.Millisecond,
+		Election: 50 * time.Millisecond, Tick: 5 * time.Millisecond, AcceptTimeout: time.Second, CompactAfter: 8,
+		GroupToken: "group", OperatorToken: "operator", Clock: time.Now, SilentAfter: time.Minute,
+	}, l, hclog.NewNullLogger())
+	require.NoError(t, err)
+	c.Start(context.Background())
+	t.Cleanup(c.Stop)
+	return c
+}
+
+func startBalancer(t *testing.T, voter string) *cookie.Balancer {
+	b, err := cookie.Listen(cookie.Settings{
+		Fabric: "127.0.0.1:0", Sources: []string{voter}, Zone: "a", Token: "group", StopTimeout: 10 * time.Second,
+		Codec: plain{}, Clock: time.Now,
+	}, hclog.NewNullLogger())
+	require.NoError(t, err)
+	b.Start(context.Background())
+	return b
+}
+
+var orders = netip.MustParseAddrPort("198.18.0.1:443")
+
+func publish(t *testing.T, c *control.Control) {
+	require.Eventually(t, func() bool {
+		_, err := c.Voter().Publish(t.Context(), configuration.Configuration{
+			Revision: 3,
+			Services: []configuration.Service{{Name: "orders", Protocol: configuration.TCP}},
+			Routes:   []configuration.Route{{Name: "r", Address: orders, Service: "orders", Timeout: time.Second}},
+		}, "first", "test")
+		return err == nil
+	}, 20*time.Second, 10*time.Millisecond)
+}
+
+func announce(t *testing.T, c *control.Control, at netip.AddrPort) {
+	u := upstream.Upstream{
+		Identity: upstream.Identity{Service: "orders", Address: at, Incarnation: 77}, Zone: "a", Slots: 2, Sequence: 1,
+	}
+	require.NoError(t, c.Upstreams().Announce(t.Context(), u, 0))
+}
+
+func send(t *testing.T, caller *net.UDPConn, b *cookie.Balancer, p router.Packet) {
+	p.Caller, p.Address = addressOf(caller), orders
+	data, err := json.Marshal(p)
+	require.NoError(t, err)
+	_, err = caller.WriteToUDPAddrPort(data, b.Address())
+	require.NoError(t, err)
+}
+
+// Symptom: after a loss of power everywhere callers waited for their next
+// repetition, up to 1.6 s, although all processes ran.
+// Events: a caller's opening reaches a balancer that no voter has answered yet.
+// Cause: it was dropped.
+func TestOpeningBeforeTheConfigurationIsPlacedWithIt(t *testing.T) {
+	voter, backend, caller := startVoter(t), listenUDP(t), listenUDP(t)
+	b := startBalancer(t, voter.Address())
+	t.Cleanup(b.Kill)
+	end := time.Now().Add(20 * time.Second)
+	send(t, caller, b, router.Packet{Opening: true})
+	_, early := receive(backend, 50*time.Millisecond)
+	require.False(t, early)
+	require.False(t, b.Ready())
+	publish(t, voter)
+	announce(t, voter, addressOf(backend))
+	data, ok := receive(backend, time.Second)
+	for !ok && time.Now().Before(end) {
+		// A slow machine: the packet was kept for its time and no longer.
+		send(t, caller, b, router.Packet{Opening: true, Copy: 1})
+		data, ok = receive(backend, time.Second)
+	}
+	require.True(t, ok)
+	var v router.Verdict
+	require.NoError(t, json.Unmarshal(data, &v))
+	require.Equal(t, uint64(77), v.Incarnation)
+	require.True(t, b.Ready())
+	w := httptest.NewRecorder()
+	b.ServeMetrics(w, nil)
+	require.Contains(t, w.Body.String(), "wasabideal_packets_placed_total 1\n")
+	require.Contains(t, w.Body.String(), "wasabideal_revision 3\n")
+}
+
+// Symptom: a planned stop cut requests.
+// Events: a balancer is asked to stop; the fabric goes on sending to it until
+// two readiness checks have failed.
+// Cause: it ended, or stopped forwarding, before that.
+func TestPlannedStopForwardsUntilNothingComes(t *testing.T) {
+	voter, backend, caller := startVoter(t), listenUDP(t), listenUDP(t)
+	b := startBalancer(t, voter.Address())
+	publish(t, voter)
+	announce(t, voter, addressOf(backend))
+	require.Eventually(t, b.Ready, 20*time.Second, 5*time.Millisecond)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		b.Stop()
+	}()
+	require.Eventually(t, func() bool { return !b.Ready() }, 20*time.Second, time.Millisecond)
+	for range 10 {
+		send(t, caller, b, router.Packet{Cookie: router.Cookie(77), Acknowledged: 1})
+		_, ok := receive(backend, 20*time.Second)
+		require.True(t, ok)
+		time.Sleep(100 * time.Millisecond)
+	}
+	<-stopped
+	_, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(b.Address()))
+	require.NoError(t, err, "the port is free again")
+}
+
+func TestMalformedDatagramsAreCountedAndDropped(t *testing.T) {
+	voter, caller := startVoter(t), listenUDP(t)
+	b := startBalancer(t, voter.Address())
+	t.Cleanup(b.Kill)
+	_, err := caller.WriteToUDPAddrPort([]byte("no packet"), b.Address())
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		w := httptest.NewRecorder()
+		b.ServeMetrics(w, nil)
+		return strings.Contains(w.Body.String(), "wasabideal_datagrams_malformed_total 1\n")
+	}, 20*time.Second, 5*time.Millisecond)
+}
