--- a/internal/capacity/page/lines.go
+++ b/internal/capacity/page/lines.go
@@ -122,13 +122,13 @@
 	delta := p.at(measure.DeltaBytes, s.addresses)
 	bytes := voterCount*questionBytes/questionSeconds + voterCount*news*perUpstream + delta*s.changeRate()
 	core := voterCount/questionSeconds*p.at(measure.QuestionMicros, s.targets)/2e6 +
-		(news+s.changeRate())*p.at(measure.ViewMicros, s.targets)/1e6 + s.changeRate()*p.at(measure.DeltaMicros, s.addresses)/1e6
+		news*p.at(measure.ViewMicros, s.targets/2)/1e6 + s.changeRate()*p.at(measure.DeltaMicros, s.addresses)/1e6
 	questions := s.daemons / questionSeconds
 	return []line{
 		{role, "flows remembered", "openings a second x 15 s, 100,000 at most", "only for load and silence; none is needed to forward", flows, 0},
 		{role, "core share of packets", "openings a second x (CookieOpeningNanos + 12 x CookieNanos)", "a cookie names the upstream (internal/cookie/router)", openings * (p.at(measure.CookieOpeningNanos, s.targets/2) + packetsPerOpening*p.at(measure.CookieNanos, flows)) / 1e9, 0},
 		{role, "control, bytes a second", "5 x 420 bytes / 0.8 s + 5 x upstreams' changes x NewsBytes + DeltaBytes x changes", "long questions to all voters; configurations from one", bytes, bytesLimit},
-		{role, "control, core share", "5 questions / 0.8 s x QuestionMicros / 2 + changes x (ViewMicros + DeltaMicros)", "joined view of the voters' words", core, coreShare},
+		{role, "control, core share", "5 questions / 0.8 s x QuestionMicros / 2 + upstreams' changes x ViewMicros + changes x DeltaMicros", "joined view of the voters' words", core, coreShare},
 		{role, "control, memory bytes", "5 x NewsBytes(upstreams) x 4 + CookieFlowBytes + HeldConfigurationBytes x 2", "what each voter told, and flows remembered", voterCount*4*p.at(measure.NewsBytes, s.targets) + p.at(measure.CookieFlowBytes, flows) + 2*p.at(measure.HeldBytes, s.addresses), memoryLimit},
 		{role, "voter, core share of questions", "daemons / 0.8 s x QuestionMicros / 2", "relays between voters and daemons: not built", questions * p.at(measure.QuestionMicros, s.targets) / 2e6, 1},
 	}
--- a/internal/capacity/page/text.go
+++ b/internal/capacity/page/text.go
@@ -41,12 +41,10 @@
 6. **The roster of balancers that remember request keys.** One for the whole
    fleet today; at 4,300 restarts a day it changes every 10 s, and each change
    must settle before the next. It has to become one a group.
-7. **All daemons listening to all voters**, where flows are placed by cookies:
-   right for some hundred daemons. At the plan's size the view, which is drawn
-   anew at each news of an upstream, takes more than its share (see the lines by
-   cookies): it must follow single changes. Five voters bear the questions, but
-   daemons must listen to relays of their zone, so that one region's voters do not
-   answer all. Not built yet.
+7. **All daemons listening to all voters**, where flows are placed by cookies.
+   Five voters bear the questions of the plan's daemons (see the lines by
+   cookies), but regions that lose each other would lose their voters too:
+   daemons must listen to relays of their zone. Not built yet.
 8. **Whole configurations after a restart.** A daemon without a disk takes all of
    it; with a disk, deltas.
 
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,10 +30,12 @@
 	routes   map[netip.AddrPort]configuration.Route
 	targets  map[uint64]*target
 	cookies  map[uint32]*target
-	pools    map[string][]*target
-	flows    map[flowKey]*flow
-	zones    map[string]*suspicion
-	swept    time.Time
+	// members are all upstreams of a service, pools those that take new flows.
+	members map[string][]*target
+	pools   map[string][]*target
+	flows   map[flowKey]*flow
+	zones   map[string]*suspicion
+	swept   time.Time
 	// drawn is when the upstreams were first told.
 	drawn time.Time
 	// turn moves on with each choice, so that equal upstreams take turns.
@@ -43,7 +46,7 @@
 func New(s Settings) *Router {
 	return &Router{
 		settings: s, routes: map[netip.AddrPort]configuration.Route{}, targets: map[uint64]*target{},
-		cookies: map[uint32]*target{}, pools: map[string][]*target{}, flows: map[flowKey]*flow{},
+		cookies: map[uint32]*target{}, members: map[string][]*target{}, pools: map[string][]*target{}, flows: map[flowKey]*flow{},
 		zones: map[string]*suspicion{},
 	}
 }
@@ -79,34 +82,89 @@
 
 // SetTargets replaces the upstreams known; those that stay keep what was learnt.
 func (r *Router) SetTargets(now time.Time, targets []view.Target) {
+	r.Update(now, view.Changes{Whole: true, Targets: targets})
+}
+
+// Update takes changes of upstreams; those that are not named stay.
+func (r *Router) Update(now time.Time, c view.Changes) {
 	if r.drawn.IsZero() {
 		r.drawn = now
 	}
-	kept := make(map[uint64]*target, len(targets))
-	r.pools = map[string][]*target{}
-	for _, x := range targets {
-		t := r.targets[x.Incarnation]
-		if t == nil {
-			t = &target{cookie: Cookie(x.Incarnation)}
-			// Two upstreams with one cookie cannot be told apart: the later one
-			// takes no flow, so that no packet of the other's flows reaches it.
-			t.clash = r.cookies[t.cookie] != nil
-		}
-		t.Target = x
-		kept[x.Incarnation] = t
-		if !t.clash {
-			r.cookies[t.cookie] = t
-		}
-		if t.takesFlows() {
-			r.pools[x.Service] = append(r.pools[x.Service], t)
+	services := map[string]bool{}
+	named := make(map[uint64]bool, len(c.Targets))
+	for _, x := range c.Targets {
+		named[x.Incarnation] = true
+		services[x.Service] = true
+		r.put(x)
+	}
+	for _, id := range c.Gone {
+		r.drop(id, services)
+	}
+	if c.Whole {
+		for id := range r.targets {
+			if !named[id] {
+				r.drop(id, services)
+			}
 		}
 	}
-	for id, t := range r.targets {
-		if kept[id] == nil && !t.clash {
-			delete(r.cookies, t.cookie)
+	r.pool(services)
+}
+
+func (r *Router) put(x view.Target) {
+	t := r.targets[x.Incarnation]
+	if t == nil {
+		t = &target{cookie: Cookie(x.Incarnation)}
+		// Two upstreams with one cookie cannot be told apart: the later one takes
+		// no flow, so that no packet of the other's flows reaches it.
+		t.clash = r.cookies[t.cookie] != nil
+		r.targets[x.Incarnation] = t
+		r.members[x.Service] = append(r.members[x.Service], t)
+	}
+	t.Target = x
+	if !t.clash {
+		r.cookies[t.cookie] = t
+	}
+}
+
+func (r *Router) drop(id uint64, services map[string]bool) {
+	t := r.targets[id]
+	if t == nil {
+		return
+	}
+	services[t.Service] = true
+	delete(r.targets, id)
+	if !t.clash {
+		delete(r.cookies, t.cookie)
+	}
+}
+
+// pool lists anew who takes new flows of some services.
+func (r *Router) pool(services map[string]bool) {
+	for service := range services {
+		r.members[service] = slices.DeleteFunc(r.members[service], func(t *target) bool {
+			return r.targets[t.Incarnation] != t
+		})
+		taking := r.pools[service][:0]
+		for _, t := range r.members[service] {
+			if t.takesFlows() {
+				taking = append(taking, t)
+			}
 		}
+		r.pools[service] = taking
+	}
+}
+
+// Upstreams returns the number of upstreams known.
+func (r *Router) Upstreams() int { return len(r.targets) }
+
+// Pool returns the incarnations that take new flows of a service, in order.
+func (r *Router) Pool(service string) []uint64 {
+	ids := make([]uint64, 0, len(r.pools[service]))
+	for _, t := range r.pools[service] {
+		ids = append(ids, t.Incarnation)
 	}
-	r.targets = kept
+	slices.Sort(ids)
+	return ids
 }
 
 // Route decides on one packet from a caller.
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -83,7 +83,7 @@
 	// uploads is nil where nothing is paced.
 	uploads *uploads
 	held    configuration.Configuration
-	// outdated says that the router's upstreams must be drawn from the view anew.
+	// outdated says that packets may be placed that could not be before.
 	outdated   bool
 	lastPacket time.Time
 	buffers    [][]byte
@@ -176,22 +176,21 @@
 	defer b.mu.Unlock()
 	now := b.settings.Clock()
 	b.view.Take(now, address, a.Life, a.Notices)
-	b.outdated = b.outdated || len(a.Notices) > 0
 	b.refresh(now)
 }
 
 // refresh gives the router the upstreams as the voters tell of them; the lock is held.
 func (b *Balancer) refresh(now time.Time) {
-	if !b.outdated && !b.view.Outdated(now) {
+	changes, changed := b.view.Changes(now)
+	if !changed && !b.outdated {
 		return
 	}
 	b.outdated = false
-	targets := b.view.Targets(now)
-	b.router.SetTargets(now, targets)
+	b.router.Update(now, changes)
 	b.placeEarly(now)
-	ready := b.held.Revision > 0 && len(targets) > 0
+	ready := b.held.Revision > 0 && b.router.Upstreams() > 0
 	if ready != b.ready.Swap(ready) {
-		b.log.Info("readiness", "Ready", ready, "Revision", b.held.Revision, "Upstreams", len(targets))
+		b.log.Info("readiness", "Ready", ready, "Revision", b.held.Revision, "Upstreams", b.router.Upstreams())
 	}
 }
 
--- a/internal/upstream/view/view.go
+++ b/internal/upstream/view/view.go
@@ -51,8 +51,12 @@
 type View struct {
 	settings Settings
 	sources  map[string]*source
-	// drawn is what Targets last rested on beside the notices.
-	drawn standing
+	// drawn is what Changes last rested on beside the notices, changed are the
+	// upstreams of which something was told since.
+	drawn    standing
+	changed  map[uint64]bool
+	whole    bool
+	forgotAt time.Time
 }
 
 // standing is what time alone changes: which voters' words count, and until when
@@ -63,7 +67,9 @@
 }
 
 // New returns an empty view.
-func New(s Settings) *View { return &View{settings: s, sources: map[string]*source{}} }
+func New(s Settings) *View {
+	return &View{settings: s, sources: map[string]*source{}, changed: map[uint64]bool{}, whole: true}
+}
 
 // Take notes a voter's answer; life tells its restarts apart. A voter that
 // restarted empty takes nothing away: upstreams that it has not heard yet stay
@@ -81,14 +87,28 @@
 			t.until = s.inherited
 			s.notices[id] = t
 		}
+		v.whole = true
 	}
 	s.contact = now
 	for _, n := range notices {
 		s.notices[n.Upstream.Incarnation] = told{Notice: n, at: now}
+		v.changed[n.Upstream.Incarnation] = true
+	}
+	v.forget(now)
+}
+
+// forget drops what has not counted for long.
+func (v *View) forget(now time.Time) {
+	if now.Sub(v.forgotAt) < v.settings.ForgetAfter/10 {
+		return
 	}
-	for id, t := range s.notices {
-		if t.gone() && now.Sub(t.at) > v.settings.ForgetAfter {
-			delete(s.notices, id)
+	v.forgotAt = now
+	for _, s := range v.sources {
+		for id, t := range s.notices {
+			if t.gone() && now.Sub(t.last()) > v.settings.ForgetAfter {
+				delete(s.notices, id)
+				v.changed[id] = true
+			}
 		}
 	}
 }
@@ -97,9 +117,68 @@
 	return t.Silent || t.Replaced || t.Upstream.State == upstream.Withdrawn || !t.until.IsZero()
 }
 
-// Outdated says that time alone has changed what Targets would return.
-func (v *View) Outdated(now time.Time) bool {
-	return v.standing(now).fresh != v.drawn.fresh || !v.drawn.until.IsZero() && now.After(v.drawn.until)
+// last is until when the word counted; one that a restarted voter inherited
+// counts on, however long ago it was told.
+func (t told) last() time.Time {
+	if t.until.After(t.at) {
+		return t.until
+	}
+	return t.at
+}
+
+// Changes are the upstreams that differ from what was told before.
+type Changes struct {
+	// Whole means that Targets are all there are.
+	Whole   bool
+	Targets []Target
+	Gone    []uint64
+}
+
+// Changes returns what differs since the last call, and whether anything may.
+func (v *View) Changes(now time.Time) (Changes, bool) {
+	if v.whole || v.outdated(now) {
+		v.whole = false
+		clear(v.changed)
+		return Changes{Whole: true, Targets: v.Targets(now)}, true
+	}
+	if len(v.changed) == 0 {
+		return Changes{}, false
+	}
+	var c Changes
+	for id := range v.changed {
+		if j := v.join(now, id); j != nil {
+			c.Targets = append(c.Targets, j.target())
+		} else {
+			c.Gone = append(c.Gone, id)
+		}
+	}
+	clear(v.changed)
+	slices.SortFunc(c.Targets, byIncarnation)
+	return c, true
+}
+
+// join collects the voters' words on one upstream, nil where there is none.
+func (v *View) join(now time.Time, id uint64) *joined {
+	var j *joined
+	anyFresh := v.drawn.fresh > 0
+	for _, s := range v.sources {
+		t, ok := s.notices[id]
+		if !ok {
+			continue
+		}
+		if j == nil {
+			j = &joined{}
+		}
+		j.add(now, t, v.fresh(now, s) || !anyFresh)
+	}
+	return j
+}
+
+func byIncarnation(a, b Target) int { return cmp.Compare(a.Incarnation, b.Incarnation) }
+
+// outdated says that time alone has changed what Targets would return.
+func (v *View) outdated(now time.Time) bool {
+	return v.standing(now).fresh != v.drawn.fresh || !v.drawn.until.IsZero() && !now.Before(v.drawn.until)
 }
 
 func (v *View) standing(now time.Time) standing {
@@ -144,7 +223,7 @@
 	for _, j := range all {
 		out = append(out, j.target())
 	}
-	slices.SortFunc(out, func(a, b Target) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	slices.SortFunc(out, byIncarnation)
 	return out
 }
 
@@ -154,7 +233,7 @@
 
 func (j *joined) add(now time.Time, t told, fresh bool) {
 	withdrawn := t.Upstream.State == upstream.Withdrawn
-	if !j.ended && (j.best.at.IsZero() || withdrawn || t.Upstream.Sequence > j.best.Upstream.Sequence) {
+	if !j.ended && (j.best.at.IsZero() || withdrawn || later(t.Upstream, j.best.Upstream)) {
 		j.best = t
 	}
 	j.ended = j.ended || withdrawn
@@ -164,6 +243,15 @@
 	j.live = j.live || current && fresh
 }
 
+// later orders two words on one incarnation; the state decides between equal
+// sequences, so that the voters' order does not.
+func later(a, b upstream.Upstream) bool {
+	if a.Sequence != b.Sequence {
+		return a.Sequence > b.Sequence
+	}
+	return a.State > b.State
+}
+
 func (j *joined) target() Target {
 	return Target{
 		Upstream: j.best.Upstream, ColdUntil: j.best.at.Add(j.best.Cold), Live: j.live && !j.ended,
