--- a/internal/daemon/control/control_test.go
+++ b/internal/daemon/control/control_test.go
@@ -61,8 +61,8 @@
 }
 
 // start starts a voter with an empty disk.
-func (f *fleet) start(l net.Listener, joins bool) *control.Control {
-	return f.startIn(f.t.TempDir(), l, joins)
+func (f *fleet) start(l net.Listener, joins bool) {
+	f.startIn(f.t.TempDir(), l, joins)
 }
 
 // startIn starts a voter with the disk that a folder is.
--- a/internal/daemon/control/recall.go
+++ b/internal/daemon/control/recall.go
@@ -19,8 +19,8 @@
 	// longer than any flow may stay open.
 	forgetUpstream = 90 * time.Second
 	// recallEvery is the least time between two writes of the upstreams known, and
-	// recallEach is added for each of them: writing 3,000 every second took a tenth
-	// of a small VM's processor.
+	// recallEach is added for each of them: encoding 3,000 takes 1.4 ms, 0.6 % of a
+	// VM with a quarter of a core if done every second.
 	recallEvery = time.Second
 	recallEach  = 2 * time.Millisecond
 	// agePace is how often announcements are looked at for silence.
