--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -15,7 +15,7 @@
 	// faultMost is the longest that one fault lasts, and gapMost the longest
 	// pause to the next; faults overlap.
 	faultMost = 3 * time.Second
-	gapMost   = 1200 * time.Millisecond
+	gapMost   = 600 * time.Millisecond
 )
 
 // disturb injects faults in the order that the seed gives.
@@ -80,7 +80,11 @@
 // wipe empties a voter's disk, where the others hold everything: no more disks
 // may be lost at once than the settings say.
 func (r *Run) wipe(p *fleet.Process) {
+	if !r.wiping.CompareAndSwap(false, true) {
+		return
+	}
 	if !r.allRead() {
+		r.wiping.Store(false)
 		return
 	}
 	p.Resume()
@@ -93,11 +97,15 @@
 		r.broken(PromiseExit, err.Error())
 	}
 	r.restart(p)
-	// The next disk may go only once this one holds everything again.
-	for end := time.Now().Add(settleFor); time.Now().Before(end) && !r.allRead(); {
-		time.Sleep(readyEvery)
-	}
-	time.Sleep(calmAfter)
+	// The next disk may go only once this one holds everything again: it has a
+	// vote some heartbeats after it answers reads.
+	r.goRun(func() {
+		defer r.wiping.Store(false)
+		for !r.over() && !r.allRead() {
+			time.Sleep(readyEvery)
+		}
+		time.Sleep(calmAfter)
+	})
 }
 
 // allRead says that all voters answer reads, and so are in touch.
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wasabideal/internal/cookie/router"
@@ -56,6 +57,7 @@
 	ready                                  []string
 	result                                 Result
 	lastFault                              time.Time
+	wiping                                 atomic.Bool
 	ended                                  bool
 	opened, unopened, answered, unanswered int
 }
