--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -33,7 +34,7 @@
 }
 
 // Run plays the runs and prints a line of JSON for each.
-func (c *soakCommand) Run() error {
+func (c *soakCommand) Run(ctx context.Context) error {
 	program, err := os.Executable()
 	if err != nil {
 		return fmt.Errorf("find this program: %w", err)
@@ -46,8 +47,11 @@
 	}
 	broken := 0
 	for n := range c.Runs {
+		if ctx.Err() != nil {
+			break
+		}
 		seed := c.Seed + uint64(n)
-		result, err := run.Play(run.Settings{
+		result, err := run.Play(ctx, run.Settings{
 			Seed: seed, For: c.For, Program: program, Folder: filepath.Join(folder, fmt.Sprint("seed-", seed)),
 			Zones: 3, Balancers: c.Balancers, Upstreams: c.Upstreams, Callers: c.Callers, World: standin.New(),
 		})
--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -19,9 +20,9 @@
 )
 
 // disturb injects faults in the order that the seed gives.
-func (r *Run) disturb() {
+func (r *Run) disturb(ctx context.Context) {
 	random := rand.New(rand.NewPCG(r.settings.Seed, 1))
-	for end := time.Now().Add(r.settings.For); time.Now().Before(end); {
+	for end := time.Now().Add(r.settings.For); time.Now().Before(end) && ctx.Err() == nil; {
 		r.fault(random)
 		time.Sleep(time.Duration(random.Int64N(int64(gapMost))))
 		r.checkExits()
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"os"
@@ -64,7 +65,9 @@
 
 // Play plays one run and returns what it counted; its promises' breaches are in
 // the result.
-func Play(s Settings) (Result, error) {
+//
+// The end of the context ends the faults early; what must hold is checked still.
+func Play(ctx context.Context, s Settings) (Result, error) {
 	r := &Run{
 		settings: s, processes: map[string]*fleet.Process{}, gone: map[uint64]bool{}, requests: map[string]int{},
 		sent: map[netip.AddrPort]map[string]bool{}, lastFault: time.Now(), result: Result{Seed: s.Seed},
@@ -73,7 +76,7 @@
 	if err := r.start(); err != nil {
 		return r.result, err
 	}
-	r.disturb()
+	r.disturb(ctx)
 	r.checkRecovery()
 	r.mu.Lock()
 	defer r.mu.Unlock()
