--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -46,6 +46,7 @@
 	balancers []string
 	proxies   []*proxy.Proxy
 	closers   []func()
+	machines  []Machine
 	running   sync.WaitGroup
 
 	mu       sync.Mutex
@@ -183,25 +184,20 @@
 	}
 	r.processes[m.Name] = p
 	r.names = append(r.names, m.Name)
-	if err := p.Start(); err != nil {
-		return err
-	}
-	// A machine that restarts later joins what runs already.
-	m.Founding = false
-	r.closers = append(r.closers, func() {})
-	return r.after(startTimeout/2, func() error {
-		return os.WriteFile(file, []byte(r.settings.World.Settings(m)), 0o600)
-	})
+	r.machines = append(r.machines, m)
+	return p.Start()
 }
 
-// after runs f later, and reports its error as a broken run.
-func (r *Run) after(d time.Duration, f func() error) error {
-	r.goRun(func() {
-		time.Sleep(d)
-		if err := f(); err != nil && !r.over() {
-			r.broken(PromiseExit, err.Error())
+// founded rewrites the settings once the system runs: a machine that starts
+// later, also with an empty disk, joins it.
+func (r *Run) founded() error {
+	for _, m := range r.machines {
+		m.Founding = false
+		file := filepath.Join(r.settings.Folder, m.Name+".toml")
+		if err := os.WriteFile(file, []byte(r.settings.World.Settings(m)), 0o600); err != nil {
+			return fmt.Errorf("write settings: %w", err)
 		}
-	})
+	}
 	return nil
 }
 
@@ -226,6 +222,9 @@
 			return &BrokenError{Promise: PromiseRecover, Detail: "the first configuration was not accepted"}
 		}
 	}
+	if err := r.founded(); err != nil {
+		return err
+	}
 	r.goRun(r.watchReadiness)
 	r.goRun(r.operate)
 	for n := range r.settings.Callers {
