--- a/internal/cookie/follower/fetcher.go
+++ b/internal/cookie/follower/fetcher.go
@@ -18,8 +18,10 @@
 	// fetchTimeout bounds one fetch: a link of 2 Mbit/s that is busy otherwise
 	// takes about a second for a configuration of 2,000 routes.
 	fetchTimeout = 2 * time.Second
-	// fetchPause is the pause after a fetch that failed.
-	fetchPause = 50 * time.Millisecond
+	// fetchPause is the pause after a fetch that failed, doubled up to
+	// fetchPauseMost while they go on failing.
+	fetchPause     = 50 * time.Millisecond
+	fetchPauseMost = time.Second
 )
 
 // fetcher gets configurations from one voter at a time.
@@ -82,14 +84,16 @@
 			return
 		case <-f.wake:
 		}
+		pause := fetchPause
 		for address := f.next(f.listener.Held().Revision); address != ""; address = f.next(f.listener.Held().Revision) {
 			if err := f.fetch(ctx, address); err != nil {
 				f.log.Warn("configuration not fetched", "Address", address, "Error", err)
 				select {
 				case <-ctx.Done():
 					return
-				case <-time.After(fetchPause):
+				case <-time.After(pause):
 				}
+				pause = min(2*pause, fetchPauseMost)
 			}
 		}
 	}
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -48,6 +50,8 @@
 	// half a second apart, to send its packets elsewhere.
 	quietStop  = 600 * time.Millisecond
 	leaveFirst = 1500 * time.Millisecond
+	// readPause keeps a socket that fails again and again from filling the log.
+	readPause = 100 * time.Millisecond
 	// forwardHead is room for what a forwarded datagram carries beside the packet.
 	forwardHead = 64
 )
@@ -222,12 +226,16 @@
 func (b *Balancer) read() {
 	for {
 		n, err := b.socket.Read()
-		if err != nil {
-			if b.ctx.Err() == nil {
-				b.log.Error("datagrams cannot be read", "Error", err)
-			}
+		if b.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// The kernel may report what befell an earlier datagram; a balancer
+			// that stopped reading for it would stay in rotation and serve nothing.
+			b.log.Error("datagrams cannot be read", "Error", err)
+			time.Sleep(readPause)
+			continue
+		}
 		b.mu.Lock()
 		now := b.settings.Clock()
 		b.lastPacket = now
