--- a/internal/control/upstreams/upstreams_test.go
+++ b/internal/control/upstreams/upstreams_test.go
@@ -1,8 +1,6 @@
 package upstreams_test
 
 import (
-	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -13,6 +11,7 @@
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/control/upstreams"
 	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/standin/server"
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/wire/rpc"
 )
@@ -26,12 +25,11 @@
 // ones do not listen.
 func voters(t *testing.T, n, down int) []voter {
 	var addresses []string
-	var listeners []net.Listener
+	var listeners []server.Server
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
+		l := server.Listen(t)
 		listeners = append(listeners, l)
-		addresses = append(addresses, l.Addr().String())
+		addresses = append(addresses, l.Address())
 	}
 	var out []voter
 	for i, l := range listeners {
@@ -42,22 +40,12 @@
 		}, f, hclog.NewNullLogger())
 		out = append(out, voter{f, u})
 		if i >= n-down {
-			require.NoError(t, l.Close())
+			require.NoError(t, l.Listener.Close())
 			continue
 		}
 		s := rpc.NewServer(func(string) {})
 		u.Serve(s)
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			_ = s.Serve(ctx, l)
-		}()
-		t.Cleanup(func() {
-			cancel()
-			_ = l.Close()
-			<-done
-		})
+		l.Serve(t, s)
 	}
 	return out
 }
--- a/internal/cookie/follower/follower_test.go
+++ b/internal/cookie/follower/follower_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +14,7 @@
 	"wasabideal/internal/cookie/follower"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/standin/server"
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/wire/rpc"
 )
@@ -30,10 +30,9 @@
 }
 
 func startVoter(t *testing.T, life uint64) *voter {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	l := server.Listen(t)
 	v := &voter{
-		address: l.Addr().String(),
+		address: l.Address(),
 		feed:    feed.New(life, directory.New(directory.Settings{SilentAfter: time.Minute, ForgetAfter: time.Hour}), time.Now),
 	}
 	s := rpc.NewServer(func(string) {})
@@ -50,17 +49,7 @@
 		}
 		return v.feed.Configuration(revision), nil
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = s.Serve(ctx, l)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		_ = l.Close()
-		<-done
-	})
+	l.Serve(t, s)
 	return v
 }
 
--- a/internal/wire/rpc/rpc_test.go
+++ b/internal/wire/rpc/rpc_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
+	"wasabideal/internal/standin/server"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -27,17 +28,7 @@
 		}
 		return in, nil
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = s.Serve(ctx, l)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		_ = l.Close()
-		<-done
-	})
+	server.Server{Listener: l}.Serve(t, s)
 }
 
 func listen(t *testing.T) net.Listener {
