--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -100,6 +100,18 @@
 	return Summary{Revision: c.Revision, InForce: c.InForce, Digest: history.Digest(c)}
 }
 
+// summary returns the summary of the configuration in force. It is kept, since
+// summing a configuration of hundreds of routes twice a change is most of the
+// time that reading a log takes.
+func (l *Ledger) summary() Summary {
+	c := l.current
+	if l.summed == nil || l.summed.Revision != c.Revision || l.summed.InForce != c.InForce {
+		s := summarize(c)
+		l.summed = &s
+	}
+	return *l.summed
+}
+
 type kept struct {
 	_      struct{} `cbor:",toarray"`
 	Key    string
@@ -113,6 +125,7 @@
 	order   []string
 	last    Change
 	roster  roster.Roster
+	summed  *Summary
 }
 
 // New returns an empty ledger.
@@ -189,12 +202,12 @@
 	if a, ok := l.answers[c.ChangeKey]; ok {
 		return c, a, nil
 	}
-	before := summarize(l.Current())
+	before := l.summary()
 	a := l.decide(c)
 	l.remember(c.ChangeKey, a)
 	return c, a, &Record{
 		When: c.When, Who: c.Who, ChangeKey: c.ChangeKey, Verdict: a.Verdict, Revision: a.Revision,
-		Reason: a.Reason, Before: before, After: summarize(l.Current()),
+		Reason: a.Reason, Before: before, After: l.summary(),
 	}
 }
 
--- a/internal/control/voter/disk.go
+++ b/internal/control/voter/disk.go
@@ -43,7 +43,7 @@
 	clear(v.waiting)
 	v.agreement = agreement.New(v.settings.Agreement, durable, now)
 	v.marked = durable.Commit
-	v.carryOut(v.agreement.Replay())
+	v.replay()
 	v.log.Info("disk works again", "Revision", v.ledger.Current().Revision)
 }
 
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -95,6 +95,8 @@
 	// reads wait for a majority to confirm that this voter leads.
 	reads  []*pendingRead
 	counts *counts
+	// replaying is set while the log is read at a start.
+	replaying bool
 	// standing is what was logged last of who leads and who votes.
 	standing standing
 	// members are the call addresses of all voters known, for readers that must
@@ -120,13 +122,25 @@
 		return nil, err
 	}
 	v.marked = d.Commit
-	// What the disk knows to be accepted is in force at once.
+	v.replay()
+	return v, nil
+}
+
+// replay puts in force what the disk knows to be accepted. Followers are told of
+// the end of it only: telling them of each change on the way took 0.8 s with 60
+// changes of 600 routes on a quarter of a core, and nobody had a configuration
+// meanwhile.
+func (v *Voter) replay() {
+	v.replaying = true
 	v.carryOut(v.agreement.Replay())
+	v.replaying = false
 	v.publish()
-	return v, nil
 }
 
 func (v *Voter) publish() {
+	if v.replaying {
+		return
+	}
 	if v.settings.Changed != nil && v.ledger.Current().Revision > 0 {
 		v.settings.Changed(v.ledger.Current())
 	}
@@ -298,7 +312,9 @@
 	_, answer, record := v.ledger.Apply(e.Data)
 	v.publish()
 	v.counts.applied.Inc(1)
-	v.log.Info("change applied", "Index", e.Index, "Verdict", answer.Verdict, "Revision", answer.Revision)
+	if !v.replaying {
+		v.log.Info("change applied", "Index", e.Index, "Verdict", answer.Verdict, "Revision", answer.Revision)
+	}
 	if record != nil {
 		v.trail.Write(e.Index, *record)
 	}
--- a/internal/control/voter/voter_test.go
+++ b/internal/control/voter/voter_test.go
@@ -43,6 +43,13 @@
 
 // alone starts a voter that is its own majority.
 func alone(t *testing.T, disk *guarded) *voter.Voter {
+	v, run := newVoter(t, disk, nil)
+	t.Cleanup(run())
+	return v
+}
+
+// newVoter returns a voter, and what runs it and returns what ends it.
+func newVoter(t *testing.T, disk *guarded, changed func(configuration.Configuration)) (*voter.Voter, func() func()) {
 	w, d, err := wal.Open(disk)
 	require.NoError(t, err)
 	trail, err := audit.Open(fault.New(9), hclog.NewNullLogger())
@@ -53,21 +60,23 @@
 			Self: self, Founders: []agreement.Voter{self}, Heartbeat: 10 * time.Millisecond,
 			Election: 30 * time.Millisecond, EntriesPerMessage: 8,
 		},
-		GroupToken: "group", CompactAfter: 4, Tick: 5 * time.Millisecond, AcceptTimeout: 300 * time.Millisecond, Clock: time.Now,
-		Reopen: func() (*wal.Wal, agreement.Durable, error) { return wal.Open(disk) },
+		GroupToken: "group", CompactAfter: 64, Tick: 5 * time.Millisecond, AcceptTimeout: 300 * time.Millisecond, Clock: time.Now,
+		Changed: changed,
+		Reopen:  func() (*wal.Wal, agreement.Durable, error) { return wal.Open(disk) },
 	}, w, d, trail, hclog.NewNullLogger())
 	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		v.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
-	return v
+	return v, func() func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			v.Run(ctx)
+		}()
+		return func() {
+			cancel()
+			<-done
+		}
+	}
 }
 
 func publish(v *voter.Voter, revision uint64) error {
@@ -116,3 +125,25 @@
 	require.ErrorAs(t, a.Err(), &invalid)
 	require.Equal(t, uint64(5), v.Held().Revision)
 }
+
+// Symptom: after a loss of power everywhere no balancer had a configuration for
+// 0.8 s after the voters had started.
+// Events: a voter starts with a log of 60 changes of 600 routes.
+// Cause: it worked out for followers what each of the changes had changed.
+func TestReplayedLogIsToldOnce(t *testing.T) {
+	disk := &guarded{Folder: fault.New(1)}
+	var told []uint64
+	for try := 0; len(told) != 1 || told[0] != 3; try++ {
+		require.Less(t, try, 40, "told of %v", told)
+		v, run := newVoter(t, disk, nil)
+		stop := run()
+		for revision := uint64(1); revision <= 3; revision++ {
+			eventually(t, func() bool { return publish(v, revision) == nil })
+		}
+		// The disk learns some ticks later that the last change was accepted.
+		time.Sleep(300 * time.Millisecond)
+		stop()
+		told = nil
+		newVoter(t, disk, func(c configuration.Configuration) { told = append(told, c.Revision) })
+	}
+}
