--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -191,11 +191,12 @@
 	}
 	b.outdated = false
 	b.router.Update(now, changes)
-	b.placeEarly(now)
 	ready := b.held.Revision > 0 && b.router.Upstreams() > 0
 	if ready != b.ready.Swap(ready) {
 		b.log.Info("readiness", "Ready", ready, "Revision", b.held.Revision, "Upstreams", b.router.Upstreams())
 	}
+	// After readiness, so that whoever sees a placed packet sees that, too.
+	b.placeEarly(now)
 }
 
 func (b *Balancer) suspected(t view.Target) {
