--- a/internal/configuration/source/source.go
+++ b/internal/configuration/source/source.go
@@ -59,6 +59,13 @@
 	s.wake()
 }
 
+// History returns the newest configuration and how it came about.
+func (s *Source) History() history.History {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history
+}
+
 // PublishRoster gives followers a newer roster; an older one is ignored.
 func (s *Source) PublishRoster(r roster.Roster) {
 	s.mu.Lock()
--- a/internal/control/agreement/agreement.go
+++ b/internal/control/agreement/agreement.go
@@ -142,6 +142,8 @@
 	Last    uint64
 	Applied uint64
 	Voters  []Voter
+	// VotersAt is the index of the entry that holds the list of voters.
+	VotersAt uint64
 	// Current says that nothing accepted can be missing here.
 	Current bool
 	// Silence is the time since a leader was heard, 0 for the leader itself.
@@ -154,7 +156,7 @@
 func (a *Agreement) Status(now time.Time) Status {
 	s := Status{
 		Role: a.role, Name: a.settings.Self.Name, Leader: a.voter(a.leader), Term: a.vote.Term, Commit: a.commit,
-		Last: a.lastIndex(), Applied: a.applied, Voters: a.voters, Current: a.Current(now), Kept: len(a.entries),
+		Last: a.lastIndex(), Applied: a.applied, Voters: a.voters, VotersAt: a.votersAt, Current: a.Current(now), Kept: len(a.entries),
 	}
 	if a.role != Leader {
 		s.Silence = now.Sub(a.heardFrom)
--- a/internal/control/agreement/lease.go
+++ b/internal/control/agreement/lease.go
@@ -32,11 +32,7 @@
 func (a *Agreement) Confirm(now time.Time) []Effect {
 	a.effects = nil
 	if a.role == Leader {
-		for _, v := range a.others() {
-			if p := a.follow(v.Id); !p.pending {
-				a.replicate(now, v.Id, p)
-			}
-		}
+		a.replicateIdle(now)
 	}
 	return a.effects
 }
--- a/internal/control/agreement/replication.go
+++ b/internal/control/agreement/replication.go
@@ -13,12 +13,17 @@
 	a.entries = append(a.entries, e)
 	a.noteVoters(e)
 	a.persist(Persist{Entries: []Entry{e}})
+	a.replicateIdle(now)
+	return e
+}
+
+// replicateIdle sends to each follower that has no message under way.
+func (a *Agreement) replicateIdle(now time.Time) {
 	for _, v := range a.others() {
 		if p := a.follow(v.Id); !p.pending {
 			a.replicate(now, v.Id, p)
 		}
 	}
-	return e
 }
 
 func (a *Agreement) follow(id string) *progress {
--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"wasabideal/internal/configuration/history"
-	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/wire/rpc"
@@ -25,8 +24,9 @@
 // is most of a voter's work; a tenth of a second later costs callers nothing.
 const gather = 100 * time.Millisecond
 
-// deltasKept is how many changes a balancer may miss and still get deltas.
-const deltasKept = 64
+// deltasMost is how many changes a balancer may miss and still get deltas; the
+// whole is shorter than more of them.
+const deltasMost = 64
 
 // Question is what a balancer asks.
 type Question struct {
@@ -68,7 +68,7 @@
 
 // New returns an empty feed; life must differ from that of earlier processes.
 func New(life uint64, d *directory.Directory, clock func() time.Time) *Feed {
-	return &Feed{life: life, clock: clock, history: history.New(deltasKept), directory: d, changed: make(chan struct{})}
+	return &Feed{life: life, clock: clock, directory: d, changed: make(chan struct{})}
 }
 
 // Serve adds the feed's method to a server.
@@ -80,11 +80,11 @@
 }
 
 // Publish tells of a configuration; one that is not newer is ignored.
-func (f *Feed) Publish(c configuration.Configuration) {
+func (f *Feed) Publish(h history.History) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c.Revision > f.history.Current().Revision {
-		f.history = f.history.With(c)
+	if h.Current().Revision > f.history.Current().Revision {
+		f.history = h
 		f.wake()
 	}
 }
@@ -97,16 +97,16 @@
 }
 
 // Announce notes an upstream's announcement, and reports whether it is news to
-// others and whether it is newer than what was known.
-func (f *Feed) Announce(now time.Time, u upstream.Upstream, cold time.Duration) (news, newer bool) {
+// others.
+func (f *Feed) Announce(now time.Time, u upstream.Upstream, cold time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	news, newer = f.directory.Announce(now, u, cold)
+	news, _ := f.directory.Announce(now, u, cold)
 	if news {
 		f.pending = true
 		f.tell(now)
 	}
-	return news, newer
+	return news
 }
 
 // tell wakes balancers for news of upstreams, unless it did so just before; Tick
@@ -169,7 +169,11 @@
 func (f *Feed) Configuration(revision uint64) history.Answer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.history.Since(revision)
+	a := f.history.Since(revision)
+	if len(a.Deltas) > deltasMost {
+		return f.history.Since(0)
+	}
+	return a
 }
 
 func (f *Feed) answer(q Question) (Answer, bool, chan struct{}) {
--- a/internal/control/feed/feed_test.go
+++ b/internal/control/feed/feed_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
@@ -55,7 +56,7 @@
 	f := newFeed()
 	f.Announce(epoch, announced(1), 0)
 	f.Announce(epoch, announced(2), 0)
-	f.Publish(configuration.Configuration{Revision: 4})
+	f.Publish(history.New(1).With(configuration.Configuration{Revision: 4}))
 	a := f.Since(context.Background(), feed.Question{Life: 1, Version: 1, Hold: time.Hour})
 	require.Equal(t, uint64(4), a.Revision)
 	require.Len(t, a.Notices, 1, "what is still gathered goes along")
--- a/internal/control/upstreams/upstreams.go
+++ b/internal/control/upstreams/upstreams.go
@@ -71,8 +71,7 @@
 // this one knew and failed right after, balancers would go on sending new flows
 // to an upstream that was told that none would come.
 func (u *Upstreams) Announce(ctx context.Context, a upstream.Upstream, cold time.Duration) error {
-	news, _ := u.feed.Announce(u.settings.Clock(), a, cold)
-	if news {
+	if u.feed.Announce(u.settings.Clock(), a, cold) {
 		u.log.Info("upstream announced", "Incarnation", fmt.Sprintf("%x", a.Incarnation), "Service", a.Service,
 			"Address", a.Address.String(), "State", a.State.String(), "Sequence", a.Sequence)
 	}
--- a/internal/control/voter/disk.go
+++ b/internal/control/voter/disk.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"wasabideal/internal/control/agreement"
-	"wasabideal/internal/control/ledger"
 )
 
 const (
@@ -29,21 +28,19 @@
 		return
 	}
 	v.failedAt = now
+	if err := v.wal.Close(); err != nil {
+		v.log.Debug("log not closed", "Error", err)
+	}
 	w, durable, err := v.settings.Reopen()
 	if err != nil {
 		v.log.Warn("disk still refuses", "Error", err)
 		return
 	}
-	fresh := ledger.New()
-	if err := fresh.Restore(durable.Snapshot.Data); err != nil {
+	if err := v.load(w, durable); err != nil {
 		v.log.Error("snapshot on the disk cannot be read", "Error", err)
 		return
 	}
-	v.wal, v.ledger, v.events, v.failedAt = w, fresh, nil, time.Time{}
-	clear(v.waiting)
-	v.agreement = agreement.New(v.settings.Agreement, durable, now)
-	v.marked = durable.Commit
-	v.replay()
+	v.failedAt = time.Time{}
 	v.log.Info("disk works again", "Revision", v.ledger.Current().Revision)
 }
 
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -11,13 +11,13 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/lo"
 
+	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/configuration/source"
 	"wasabideal/internal/control/agreement"
 	"wasabideal/internal/control/audit"
 	"wasabideal/internal/control/keeper"
 	"wasabideal/internal/control/ledger"
 	"wasabideal/internal/disk/wal"
-	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -51,8 +51,9 @@
 	// Reopen reads the disk again after it refused a write; without it the
 	// voter stays read-only.
 	Reopen func() (*wal.Wal, agreement.Durable, error)
-	// Changed is told of each configuration that comes in force, if set.
-	Changed func(configuration.Configuration)
+	// Changed is told of each configuration that comes in force, with how it came
+	// about, if set.
+	Changed func(history.History)
 }
 
 // UnknownError says that a change may or may not have been accepted.
@@ -112,18 +113,29 @@
 // New returns a voter with what its disk held.
 func New(s Settings, w *wal.Wal, d agreement.Durable, trail *audit.Trail, log hclog.Logger) (*Voter, error) {
 	v := &Voter{
-		settings: s, log: log, wal: w, ledger: ledger.New(), trail: trail,
+		settings: s, log: log, trail: trail,
 		waiting: map[uint64]waiter{}, outboxes: map[string]*outbox{}, senders: map[string]string{},
 		counts: newCounts(),
 	}
 	v.source = source.New(v.current)
-	v.agreement = agreement.New(s.Agreement, d, s.Clock())
-	if err := v.ledger.Restore(d.Snapshot.Data); err != nil {
+	if err := v.load(w, d); err != nil {
 		return nil, err
 	}
+	return v, nil
+}
+
+// load takes over what a disk holds.
+func (v *Voter) load(w *wal.Wal, d agreement.Durable) error {
+	fresh := ledger.New()
+	if err := fresh.Restore(d.Snapshot.Data); err != nil {
+		return err
+	}
+	v.wal, v.ledger, v.events = w, fresh, nil
+	clear(v.waiting)
+	v.agreement = agreement.New(v.settings.Agreement, d, v.settings.Clock())
 	v.marked = d.Commit
 	v.replay()
-	return v, nil
+	return nil
 }
 
 // replay puts in force what the disk knows to be accepted. Followers are told of
@@ -141,10 +153,10 @@
 	if v.replaying {
 		return
 	}
+	v.source.Publish(v.ledger.Current())
 	if v.settings.Changed != nil && v.ledger.Current().Revision > 0 {
-		v.settings.Changed(v.ledger.Current())
+		v.settings.Changed(v.source.History())
 	}
-	v.source.Publish(v.ledger.Current())
 	v.source.PublishRoster(v.ledger.Roster())
 }
 
@@ -227,27 +239,27 @@
 
 // standing is what a voter believes of the voters.
 type standing struct {
-	Role   agreement.Role
-	Leader string
-	Term   uint64
-	Voters string
+	role     agreement.Role
+	leader   string
+	term     uint64
+	votersAt uint64
 }
 
 // logStanding logs when this voter's belief in who leads and who votes changed.
 func (v *Voter) logStanding() {
 	s := v.agreement.Status(v.settings.Clock())
+	now := standing{role: s.Role, leader: s.Leader.Id, term: s.Term, votersAt: s.VotersAt}
+	if now == v.standing {
+		return
+	}
+	v.standing = now
 	names := lo.Map(s.Voters, func(x agreement.Voter, _ int) string {
 		if x.Learner {
 			return x.Name + " (learner)"
 		}
 		return x.Name
 	})
-	now := standing{Role: s.Role, Leader: s.Leader.Name, Term: s.Term, Voters: strings.Join(names, ", ")}
-	if now == v.standing {
-		return
-	}
-	v.standing = now
-	v.log.Info("standing", "Role", now.Role, "Leader", now.Leader, "Term", now.Term, "Voters", now.Voters,
+	v.log.Info("standing", "Role", s.Role, "Leader", s.Leader.Name, "Term", s.Term, "Voters", strings.Join(names, ", "),
 		"Accepted", s.Commit, "Last", s.Last, "Silence", s.Silence.String())
 }
 
--- a/internal/control/voter/voter_test.go
+++ b/internal/control/voter/voter_test.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
+	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/control/agreement"
 	"wasabideal/internal/control/audit"
 	"wasabideal/internal/control/ledger"
@@ -49,7 +50,7 @@
 }
 
 // newVoter returns a voter, and what runs it and returns what ends it.
-func newVoter(t *testing.T, disk *guarded, changed func(configuration.Configuration)) (*voter.Voter, func() func()) {
+func newVoter(t *testing.T, disk *guarded, changed func(history.History)) (*voter.Voter, func() func()) {
 	w, d, err := wal.Open(disk)
 	require.NoError(t, err)
 	trail, err := audit.Open(fault.New(9), hclog.NewNullLogger())
@@ -144,6 +145,6 @@
 		time.Sleep(300 * time.Millisecond)
 		stop()
 		told = nil
-		newVoter(t, disk, func(c configuration.Configuration) { told = append(told, c.Revision) })
+		newVoter(t, disk, func(h history.History) { told = append(told, h.Current().Revision) })
 	}
 }
--- a/internal/cookie/follower/follower_test.go
+++ b/internal/cookie/follower/follower_test.go
@@ -23,6 +23,7 @@
 type voter struct {
 	address string
 	feed    *feed.Feed
+	history history.History
 	mu      sync.Mutex
 	fetched int
 	// stuck voters never answer with a configuration.
@@ -33,6 +34,7 @@
 	l := server.Listen(t)
 	v := &voter{
 		address: l.Address(),
+		history: history.New(8),
 		feed:    feed.New(life, directory.New(directory.Settings{SilentAfter: time.Minute, ForgetAfter: time.Hour}), time.Now),
 	}
 	s := rpc.NewServer(func(string) {})
@@ -53,6 +55,11 @@
 	return v
 }
 
+func (v *voter) publish(revision uint64) {
+	v.history = v.history.With(configuration.Configuration{Revision: revision})
+	v.feed.Publish(v.history)
+}
+
 func (v *voter) fetches() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -116,7 +123,7 @@
 	l := follow(t, a.address, b.address, c.address)
 	for revision := uint64(1); revision <= 3; revision++ {
 		for _, v := range []*voter{a, b, c} {
-			v.feed.Publish(configuration.Configuration{Revision: revision})
+			v.publish(revision)
 		}
 		eventually(t, func() bool { return l.Held().Revision == revision })
 	}
@@ -127,10 +134,10 @@
 	a, b := startVoter(t, 1), startVoter(t, 2)
 	a.stuck = true
 	l := follow(t, a.address)
-	a.feed.Publish(configuration.Configuration{Revision: 7})
+	a.publish(7)
 	eventually(t, func() bool { return a.fetches() > 0 })
 	a.feed.SetMembers([]string{a.address, b.address})
-	b.feed.Publish(configuration.Configuration{Revision: 7})
+	b.publish(7)
 	eventually(t, func() bool { return l.Held().Revision == 7 })
 }
 
@@ -138,7 +145,7 @@
 	a := startVoter(t, 1)
 	a.stuck = true
 	l := follow(t, a.address)
-	a.feed.Publish(configuration.Configuration{Revision: 7})
+	a.publish(7)
 	eventually(t, func() bool { return a.fetches() > 0 })
 	a.feed.Announce(time.Now(), upstream.Upstream{Identity: upstream.Identity{Incarnation: 5}, Sequence: 1}, 0)
 	eventually(t, func() bool { return l.heard(a.address) == 1 })
--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"net/netip"
 	"time"
 )
 
@@ -21,8 +20,6 @@
 	sweepEvery = 500 * time.Millisecond
 )
 
-type flowKey struct{ caller, address netip.AddrPort }
-
 // flow is what is remembered of one flow that came through this balancer.
 type flow struct {
 	target *target
@@ -36,7 +33,7 @@
 	next, acknowledged uint32
 }
 
-func (r *Router) open(now time.Time, k flowKey, t *target) {
+func (r *Router) open(now time.Time, k Flow, t *target) {
 	if len(r.flows) >= flowLimit {
 		return
 	}
@@ -56,14 +53,14 @@
 	f.target.flows--
 }
 
-func (r *Router) forget(k flowKey, f *flow) {
+func (r *Router) forget(k Flow, f *flow) {
 	f.leave()
 	delete(r.flows, k)
 }
 
 // note learns from a packet of an open flow: answers that the caller got are
 // signs of life, a repeated request is a sign of silence.
-func (r *Router) note(now time.Time, k flowKey, t *target, p Packet) {
+func (r *Router) note(now time.Time, k Flow, t *target, p Packet) {
 	f := r.flows[k]
 	if f == nil || f.target != t {
 		if f != nil {
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -19,6 +19,12 @@
 	Length       int
 }
 
+// Flow names a flow by its two ends.
+type Flow struct{ Caller, Address netip.AddrPort }
+
+// Flow returns the flow that the packet belongs to.
+func (p Packet) Flow() Flow { return Flow{p.Caller, p.Address} }
+
 // Action is what to do with a packet.
 type Action uint8
 
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -33,7 +33,7 @@
 	// members are all upstreams of a service, pools those that take new flows.
 	members map[string][]*target
 	pools   map[string][]*target
-	flows   map[flowKey]*flow
+	flows   map[Flow]*flow
 	zones   map[string]*suspicion
 	swept   time.Time
 	// drawn is when the upstreams were first told.
@@ -46,7 +46,7 @@
 func New(s Settings) *Router {
 	return &Router{
 		settings: s, routes: map[netip.AddrPort]configuration.Route{}, targets: map[uint64]*target{},
-		cookies: map[uint32]*target{}, members: map[string][]*target{}, pools: map[string][]*target{}, flows: map[flowKey]*flow{},
+		cookies: map[uint32]*target{}, members: map[string][]*target{}, pools: map[string][]*target{}, flows: map[Flow]*flow{},
 		zones: map[string]*suspicion{},
 	}
 }
@@ -185,7 +185,7 @@
 		}
 		return Verdict{Action: Reset, Reason: Ended}
 	}
-	r.note(now, flowKey{p.Caller, p.Address}, t, p)
+	r.note(now, p.Flow(), t, p)
 	return r.forward(t, Known)
 }
 
@@ -207,7 +207,7 @@
 	if !ok {
 		return Verdict{Action: Reset, Reason: NoRoute, Revision: r.revision}
 	}
-	k := flowKey{p.Caller, p.Address}
+	k := p.Flow()
 	if f := r.flows[k]; f != nil {
 		if f.opening {
 			r.missed(now, f.target, f.sent)
@@ -229,9 +229,9 @@
 }
 
 // number spreads flows over the backends of a split route.
-func (k flowKey) number() uint64 {
-	b := k.caller.Addr().As4()
-	return xxhash.Sum64(append(b[:], byte(k.caller.Port()>>8), byte(k.caller.Port())))
+func (k Flow) number() uint64 {
+	b := k.Caller.Addr().As4()
+	return xxhash.Sum64(append(b[:], byte(k.Caller.Port()>>8), byte(k.Caller.Port())))
 }
 
 // tell passes a duration to a listener, if there is one.
--- a/internal/daemon/cookie/early.go
+++ b/internal/daemon/cookie/early.go
@@ -10,7 +10,7 @@
 // earlyKey tells packets apart that are worth keeping beside each other: a
 // repeated one takes the place of the first.
 type earlyKey struct {
-	flow     flowKey
+	flow     router.Flow
 	opening  bool
 	sequence uint32
 }
@@ -22,7 +22,7 @@
 
 // keep keeps a packet until the voters have told what it takes to place it.
 func (b *Balancer) keep(now, arrived time.Time, p router.Packet, data []byte) {
-	k := earlyKey{flow: flowKey{p.Caller, p.Address}, opening: p.Opening, sequence: p.Sequence}
+	k := earlyKey{flow: p.Flow(), opening: p.Opening, sequence: p.Sequence}
 	b.early.Keep(now, arrived, k, earlyPacket{packet: p, data: slices.Clone(data)})
 }
 
--- a/internal/daemon/cookie/uploads.go
+++ b/internal/daemon/cookie/uploads.go
@@ -17,8 +17,6 @@
 // then, which no queue notices.
 const leastPause = 4 * time.Millisecond
 
-type flowKey struct{ caller, address netip.AddrPort }
-
 // outgoing is a packet that waits for its turn on the link.
 type outgoing struct {
 	to   netip.AddrPort
@@ -27,12 +25,12 @@
 
 // uploads paces uploads over the VM's link.
 type uploads struct {
-	link *uplink.Uplink[flowKey, outgoing]
+	link *uplink.Uplink[router.Flow, outgoing]
 	wake chan struct{}
 }
 
 func newUploads(bytesPerSecond float64) *uploads {
-	return &uploads{link: uplink.New[flowKey, outgoing](bytesPerSecond), wake: make(chan struct{}, 1)}
+	return &uploads{link: uplink.New[router.Flow, outgoing](bytesPerSecond), wake: make(chan struct{}, 1)}
 }
 
 // decide routes a packet, but turns an upload away at its opening when the link
@@ -41,7 +39,7 @@
 	if b.uploads == nil || b.router.Class(p.Address) != configuration.Upload {
 		return b.router.Route(now, p)
 	}
-	k := flowKey{p.Caller, p.Address}
+	k := p.Flow()
 	if p.Opening && !b.uploads.link.Admit(now, k) {
 		return router.Verdict{Action: router.Reset, Reason: router.Busy, Revision: b.router.Revision()}
 	}
@@ -57,8 +55,8 @@
 		return false
 	}
 	out := b.settings.Codec.Forward(make([]byte, 0, len(data)+forwardHead), data, v)
-	b.uploads.link.Offer(now, uplink.Packet[flowKey, outgoing]{
-		Flow: flowKey{p.Caller, p.Address}, Sequence: p.Sequence, Length: p.Length,
+	b.uploads.link.Offer(now, uplink.Packet[router.Flow, outgoing]{
+		Flow: p.Flow(), Sequence: p.Sequence, Length: p.Length,
 		Size: p.Length + packetOverhead, Payload: outgoing{to: v.To, data: out},
 	})
 	select {
--- a/internal/disk/wal/wal.go
+++ b/internal/disk/wal/wal.go
@@ -87,6 +87,9 @@
 	return w, state, nil
 }
 
+// Close gives the log's file back; what was written stays.
+func (w *Wal) Close() error { return w.file.Close() }
+
 // Size returns the length of the log in bytes.
 func (w *Wal) Size() int64 { return w.size }
 
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -35,8 +35,7 @@
 	command *exec.Cmd
 	ended   chan struct{}
 	// meant says that the process was told to end.
-	meant  bool
-	paused bool
+	meant bool
 }
 
 // Start starts the process.
@@ -95,20 +94,10 @@
 }
 
 // Pause suspends the process until Resume.
-func (p *Process) Pause() {
-	p.signal(syscall.SIGSTOP, false)
-	p.mu.Lock()
-	p.paused = true
-	p.mu.Unlock()
-}
+func (p *Process) Pause() { p.signal(syscall.SIGSTOP, false) }
 
 // Resume lets a suspended process go on.
-func (p *Process) Resume() {
-	p.signal(syscall.SIGCONT, false)
-	p.mu.Lock()
-	p.paused = false
-	p.mu.Unlock()
-}
+func (p *Process) Resume() { p.signal(syscall.SIGCONT, false) }
 
 // Hangup tells the process to read its settings again.
 func (p *Process) Hangup() { p.signal(syscall.SIGHUP, false) }
--- a/internal/upstream/view/view.go
+++ b/internal/upstream/view/view.go
@@ -205,23 +205,16 @@
 
 // Targets returns all upstreams known, in the order of incarnations.
 func (v *View) Targets(now time.Time) []Target {
-	all := map[uint64]*joined{}
 	v.drawn = v.standing(now)
-	anyFresh := v.drawn.fresh > 0
+	known := map[uint64]bool{}
 	for _, s := range v.sources {
-		fresh := v.fresh(now, s) || !anyFresh
-		for id, t := range s.notices {
-			j := all[id]
-			if j == nil {
-				j = &joined{}
-				all[id] = j
-			}
-			j.add(now, t, fresh)
+		for id := range s.notices {
+			known[id] = true
 		}
 	}
-	out := make([]Target, 0, len(all))
-	for _, j := range all {
-		out = append(out, j.target())
+	out := make([]Target, 0, len(known))
+	for id := range known {
+		out = append(out, v.join(now, id).target())
 	}
 	slices.SortFunc(out, byIncarnation)
 	return out
