--- a/internal/control/agreement/members.go
+++ b/internal/control/agreement/members.go
@@ -177,6 +177,12 @@
 	return slices.Compact(known)
 }
 
+// Voting returns the addresses of those who have a vote, none while no list of
+// voters is held: with an empty disk, or before the system is founded.
+func (a *Agreement) Voting() []string {
+	return lo.Map(a.voting(), func(v Voter, _ int) string { return v.Address })
+}
+
 // Meet adds a voter to those that are asked to take this one in.
 func (a *Agreement) Meet(v Voter) {
 	if !lo.ContainsBy(a.settings.Meet, func(o Voter) bool { return o.Name == v.Name }) {
--- a/internal/control/upstreams/upstreams.go
+++ b/internal/control/upstreams/upstreams.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/model/upstream"
@@ -27,12 +29,24 @@
 	return fmt.Sprintf("departure is held by %d voters where %d are needed; announce it again or elsewhere", e.Holders, e.Needed)
 }
 
+// UnlistedError says that this voter holds no list of voters, so that it cannot
+// tell what a majority is: it has just started, or lost its disk.
+type UnlistedError struct{}
+
+func (*UnlistedError) Error() string {
+	return "this voter holds no list of voters yet and cannot count a majority; announce the departure again or elsewhere"
+}
+
 // Settings of the announcements at one voter.
 type Settings struct {
 	Token string
 	Clock func() time.Time
-	// Others returns the call addresses of the other voters.
-	Others func() []string
+	// Self is this voter's call address.
+	Self string
+	// Known returns the call addresses of all voters that are told, and Voting
+	// those whose majority must hold a departure; both may name this one. Voting
+	// is empty while no list of voters is held.
+	Known, Voting func() []string
 }
 
 // shared is an announcement on its way between voters.
@@ -83,11 +97,11 @@
 
 // share tells the other voters and waits until a majority holds the news.
 func (u *Upstreams) share(ctx context.Context, s shared) error {
-	others := u.settings.Others()
-	needed := (len(others)+1)/2 + 1
+	others, voting := lo.Without(u.settings.Known(), u.settings.Self), u.settings.Voting()
+	needed := len(voting)/2 + 1
 	// A caller that gives up must not keep the others from hearing the news.
 	ctx = context.WithoutCancel(ctx)
-	taken := make(chan bool, len(others))
+	taken := make(chan string, len(others))
 	for _, address := range others {
 		go func() {
 			call, cancel := context.WithTimeout(ctx, shareTimeout)
@@ -95,16 +109,20 @@
 			_, err := rpc.Call[shared, empty](call, u.client(address), Method, s)
 			if err != nil {
 				u.log.Debug("announcement not shared", "Address", address, "Error", err)
+				address = ""
 			}
-			taken <- err == nil
+			taken <- address
 		}()
 	}
-	holders := 1
+	if len(voting) == 0 {
+		return &UnlistedError{}
+	}
+	holders := lo.Count(voting, u.settings.Self)
 	for range others {
 		if holders >= needed {
 			break
 		}
-		if <-taken {
+		if slices.Contains(voting, <-taken) {
 			holders++
 		}
 	}
--- a/internal/control/upstreams/upstreams_test.go
+++ b/internal/control/upstreams/upstreams_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"wasabideal/internal/control/feed"
@@ -17,6 +16,7 @@
 )
 
 type voter struct {
+	known     []string
 	feed      *feed.Feed
 	upstreams *upstreams.Upstreams
 }
@@ -34,11 +34,11 @@
 	var out []voter
 	for i, l := range listeners {
 		f := feed.New(uint64(i+1), directory.New(directory.Settings{SilentAfter: time.Minute, ForgetAfter: time.Hour}), time.Now)
-		others := lo.Without(addresses, addresses[i])
 		u := upstreams.New(upstreams.Settings{
-			Token: "group", Clock: time.Now, Others: func() []string { return others },
+			Token: "group", Clock: time.Now, Self: addresses[i], Known: func() []string { return addresses },
+			Voting: func() []string { return addresses },
 		}, f, hclog.NewNullLogger())
-		out = append(out, voter{f, u})
+		out = append(out, voter{addresses, f, u})
 		if i >= n-down {
 			require.NoError(t, l.Listener.Close())
 			continue
@@ -74,3 +74,40 @@
 	notices, _ := vs[0].feed.Notices(time.Now())
 	require.Len(t, notices, 1, "balancers in reach hear of it all the same")
 }
+
+// Symptom: a departure was acknowledged that no other voter knew of.
+// Events: a voter starts with an empty disk; before any other voter has spoken
+// to it, an upstream tells it that it drains.
+// Cause: it knew no voter but itself, and took itself for the majority.
+func TestVoterWithoutAListAcknowledgesNoDeparture(t *testing.T) {
+	address := server.Listen(t).Address()
+	f := feed.New(1, directory.New(directory.Settings{SilentAfter: time.Minute, ForgetAfter: time.Hour}), time.Now)
+	u := upstreams.New(upstreams.Settings{
+		Token: "group", Clock: time.Now, Self: address, Known: func() []string { return []string{address} },
+		Voting: func() []string { return nil },
+	}, f, hclog.NewNullLogger())
+	var unlisted *upstreams.UnlistedError
+	require.ErrorAs(t, u.Announce(t.Context(), leaving(), 0), &unlisted)
+	notices, _ := f.Notices(time.Now())
+	require.Len(t, notices, 1, "balancers in reach hear of it all the same")
+	ready := leaving()
+	ready.Incarnation, ready.State = 8, upstream.Ready
+	require.NoError(t, u.Announce(t.Context(), ready, 0), "an upstream that serves needs no majority")
+}
+
+// Symptom: a departure was acknowledged that would not outlive the loss of two
+// voters that a list of five bears.
+// Events: two learners hold it beside the voter that was told, two voters do not.
+// Cause: everyone known was counted, with or without a vote.
+func TestOnlyVotersCountTowardsTheMajority(t *testing.T) {
+	vs := voters(t, 5, 2)
+	known := vs[0].known
+	voting := append([]string{known[0]}, known[3:]...)
+	u := upstreams.New(upstreams.Settings{
+		Token: "group", Clock: time.Now, Self: known[0], Known: func() []string { return known },
+		Voting: func() []string { return voting },
+	}, vs[0].feed, hclog.NewNullLogger())
+	var unshared *upstreams.UnsharedError
+	require.ErrorAs(t, u.Announce(t.Context(), leaving(), 0), &unshared)
+	require.Equal(t, upstreams.UnsharedError{Holders: 1, Needed: 2}, *unshared)
+}
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -100,11 +100,14 @@
 	replaying bool
 	// standing is what was logged last of who leads and who votes.
 	standing standing
-	// members are the call addresses of all voters known, for readers that must
-	// not wait for the disk.
-	members atomic.Pointer[[]string]
+	// members is for readers that must not wait for the disk.
+	members atomic.Pointer[members]
 }
 
+// members are the call addresses of all voters known, and of those that have a
+// vote.
+type members struct{ known, voting []string }
+
 type waiter struct {
 	term   uint64
 	answer chan ledger.Answer
@@ -134,6 +137,7 @@
 	clear(v.waiting)
 	v.agreement = agreement.New(v.settings.Agreement, d, v.settings.Clock())
 	v.marked = d.Commit
+	v.noteMembers()
 	v.replay()
 	return nil
 }
@@ -232,8 +236,7 @@
 	}
 	v.answerReads()
 	v.compactIfLong()
-	members := v.agreement.Addresses(v.settings.Clock())
-	v.members.Store(&members)
+	v.noteMembers()
 	v.logStanding()
 }
 
@@ -263,14 +266,17 @@
 		"Accepted", s.Commit, "Last", s.Last, "Silence", s.Silence.String())
 }
 
+func (v *Voter) noteMembers() {
+	v.members.Store(&members{known: v.agreement.Addresses(v.settings.Clock()), voting: v.agreement.Voting()})
+}
+
 // Members returns the call addresses of all voters that this one knows, itself
 // included.
-func (v *Voter) Members() []string {
-	if m := v.members.Load(); m != nil {
-		return *m
-	}
-	return nil
-}
+func (v *Voter) Members() []string { return v.members.Load().known }
+
+// Voting returns the call addresses of the voters that have a vote, none while
+// this one holds no list of them.
+func (v *Voter) Voting() []string { return v.members.Load().voting }
 
 // carryOut does what the reducer asked for, in its order: nothing that follows
 // a failed write is done, so no promise rests on it.
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/samber/lo"
 
 	"wasabideal/internal/control/agreement"
 	"wasabideal/internal/control/audit"
@@ -119,7 +118,8 @@
 		return err
 	}
 	c.upstreams = upstreams.New(upstreams.Settings{
-		Token: c.settings.GroupToken, Clock: c.settings.Clock, Others: c.others,
+		Token: c.settings.GroupToken, Clock: c.settings.Clock, Self: c.Advertised(),
+		Known: c.voter.Members, Voting: c.voter.Voting,
 	}, c.feed, c.log)
 	c.recallUpstreams()
 	c.server = rpc.NewServer(c.voter.Denied)
@@ -136,11 +136,6 @@
 	return binary.LittleEndian.Uint64(b[:])
 }
 
-// others returns the call addresses of the other voters.
-func (c *Control) others() []string {
-	return lo.Without(c.voter.Members(), c.Advertised())
-}
-
 func (c *Control) voterSettings(id string) voter.Settings {
 	s := c.settings
 	seed := uint64(0)
--- a/internal/daemon/control/control_test.go
+++ b/internal/daemon/control/control_test.go
@@ -16,6 +16,7 @@
 	"wasabideal/internal/control/agreement"
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/control/ledger"
+	"wasabideal/internal/control/upstreams"
 	"wasabideal/internal/daemon/control"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
@@ -140,6 +141,21 @@
 	require.Equal(t, uint64(6), c.Revision)
 }
 
+// Symptom: a departure was acknowledged that no other voter knew of.
+// Events: a voter starts with an empty disk while the others cannot be reached;
+// an upstream tells it that it drains.
+// Cause: it knew only itself and counted itself as the majority.
+func TestVoterWithAnEmptyDiskAcknowledgesNoDeparture(t *testing.T) {
+	f := newFleet(t, 1)
+	f.voting(1)
+	l := listen(t, "127.0.0.1:0")
+	f.founders = []agreement.Voter{{Name: "127.0.0.1:1", Address: "127.0.0.1:1"}}
+	f.start(l, true)
+	u := upstream.Upstream{Identity: upstream.Identity{Service: "orders", Incarnation: 7}, Sequence: 3, State: upstream.Draining}
+	var unlisted *upstreams.UnlistedError
+	require.ErrorAs(t, f.running[l.Addr().String()].Upstreams().Announce(t.Context(), u, 0), &unlisted)
+}
+
 // Symptom: after a loss of power everywhere balancers had a configuration and no
 // upstream for a second.
 // Events: all voters restart; each upstream announces itself once in 1.2 s.
