--- a/internal/upstream/view/view.go
+++ b/internal/upstream/view/view.go
@@ -196,9 +196,10 @@
 
 // joined collects the voters' words on one upstream.
 type joined struct {
-	best     told
-	live     bool
-	vouched  bool
+	best told
+	live bool
+	// heard says that its announcements are not overdue at some voter.
+	heard    bool
 	replaced bool
 	ended    bool
 }
@@ -231,9 +232,9 @@
 	}
 	j.ended = j.ended || withdrawn
 	j.replaced = j.replaced || t.Replaced
-	current := !t.Silent && !t.Replaced && (t.until.IsZero() || now.Before(t.until))
-	j.vouched = j.vouched || current
-	j.live = j.live || current && fresh
+	heard := !t.Silent && (t.until.IsZero() || now.Before(t.until))
+	j.heard = j.heard || heard
+	j.live = j.live || heard && !t.Replaced && fresh
 }
 
 // later orders two words on one incarnation; the state decides between equal
@@ -248,8 +249,10 @@
 func (j *joined) target() Target {
 	return Target{
 		Upstream: j.best.Upstream, ColdUntil: j.best.at.Add(j.best.Cold), Live: j.live && !j.ended,
-		// An address that another incarnation took, while nobody hears this
-		// one, ends it: its flows can be reset.
-		Ended: j.ended || j.replaced && !j.vouched,
+		// Another incarnation at the address ends this one, so that its flows can
+		// be reset, but only once it is silent: a delayed announcement of the one
+		// that was there before would otherwise reset the flows of an upstream
+		// that serves.
+		Ended: j.ended || j.replaced && !j.heard,
 	}
 }
