--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -24,6 +24,7 @@
 	Forget   forgetCommand   `cmd:"" help:"Say that a balancer is gone for good."`
 	Remove   removeCommand   `cmd:"" help:"Take a control voter out of the list for good."`
 	Replay   replayCommand   `cmd:"" help:"Reduce a recorded trace again and print its effects."`
+	Explain  explainCommand  `cmd:"" help:"Tell why a request failed, or what became of a change, from logs."`
 	Capacity capacityCommand `cmd:"" help:"Measure the slopes and write the capacity page."`
 	Load     loadCommand     `cmd:"" help:"Load running balancers with flows and requests."`
 	Demo     demoCommand     `cmd:"" help:"Play the whole path on loopback in one process, with failures."`
--- a/internal/daemon/cookie/reports.go
+++ b/internal/daemon/cookie/reports.go
@@ -15,7 +15,7 @@
 	// placedMost and turnedMost bound the single decisions that are logged in
 	// that time, for flows that were placed and for packets that were not
 	// forwarded, so that a storm of packets cannot fill the log or delay packets.
-	placedMost = 20
+	placedMost = 40
 	turnedMost = 40
 )
 
--- /dev/null
+++ b/internal/log/story/story_test.go
@@ -0,0 +1,63 @@
+package story_test
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/log/story"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+func readAll(t *testing.T) story.Story {
+	var s story.Story
+	for _, name := range []string{"balancer.log", "voter.log"} {
+		f, err := os.Open(filepath.Join("testdata", name))
+		require.NoError(t, err)
+		s, err = s.Read(name, f)
+		require.NoError(t, err)
+		require.NoError(t, f.Close())
+	}
+	return s
+}
+
+func TestStories(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		question story.Question
+	}{
+		{"silent_upstream", story.Question{Caller: "100.64.0.1:40001"}},
+		{"upstream_that_left", story.Question{Caller: "100.64.0.2:40002"}},
+		{"no_route", story.Question{Caller: "100.64.0.3:40003"}},
+		{"overload", story.Question{Caller: "100.64.0.4:40004"}},
+		{"incarnation", story.Question{Incarnation: "b2"}},
+		{"revision", story.Question{Revision: 5}},
+		{"revision_not_accepted", story.Question{Revision: 4}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var out bytes.Buffer
+			require.NoError(t, readAll(t).Tell(&out, c.question))
+			golden := filepath.Join("testdata", c.name+".golden.txt")
+			if *update {
+				require.NoError(t, os.WriteFile(golden, out.Bytes(), 0o600))
+			}
+			want, err := os.ReadFile(golden)
+			require.NoError(t, err)
+			require.Equal(t, string(want), out.String())
+		})
+	}
+}
+
+func TestUnknownIdAndForeignFilesAreToldApart(t *testing.T) {
+	var empty *story.EmptyError
+	require.ErrorAs(t, readAll(t).Tell(&bytes.Buffer{}, story.Question{Caller: "100.64.9.9:1"}), &empty)
+	var none *story.NoLinesError
+	_, err := story.Story{}.Read("notes.txt", strings.NewReader("no lines\n{}\n"))
+	require.ErrorAs(t, err, &none)
+}
