--- a/internal/cookie/admission/admission.go
+++ b/internal/cookie/admission/admission.go
@@ -117,8 +117,9 @@
 	return n
 }
 
-// Admits says whether a new flow may come in beside what is under way.
-func (a *Admission) Admits(now time.Time, underWay int, d Demand) bool {
+// Admitted says whether the flow may come in where requests are predicted to take
+// so long.
+func (d Demand) Admitted(predicted time.Duration) bool {
 	if d.Objective <= 0 {
 		return true
 	}
@@ -126,8 +127,7 @@
 	if d.Urgent {
 		first, all = urgentFirst, urgentAll
 	}
-	share := a.ResponseTime(now, underWay).Seconds() / d.Objective.Seconds()
-	refused := (share - first) / (all - first)
+	refused := (predicted.Seconds()/d.Objective.Seconds() - first) / (all - first)
 	const parts = 1 << 16
 	return float64(d.Number%parts) >= refused*parts
 }
--- a/internal/cookie/admission/admission_test.go
+++ b/internal/cookie/admission/admission_test.go
@@ -27,7 +27,7 @@
 	const flows = 1 << 10
 	n := 0
 	for i := range uint64(flows) {
-		if !a.Admits(now, underWay, admission.Demand{Objective: objective, Urgent: urgent, Number: i << 6}) {
+		if !(admission.Demand{Objective: objective, Urgent: urgent, Number: i << 6}).Admitted(a.ResponseTime(now, underWay)) {
 			n++
 		}
 	}
@@ -60,7 +60,7 @@
 	a := answered(20, time.Second, 10)
 	require.Equal(t, 1.0, refused(a, epoch.Add(149*time.Millisecond), 10, false))
 	require.Zero(t, refused(a, epoch.Add(150*time.Millisecond), 10, false))
-	require.True(t, a.Admits(epoch, 10, admission.Demand{}), "a flow without an objective is never late")
+	require.True(t, admission.Demand{}.Admitted(time.Hour), "a flow without an objective is never late")
 }
 
 // Symptom: a burst was let in whole, and turned away whole when it was over.
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -1,6 +1,9 @@
 package router
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // Packet is what the router needs to know of one packet from a caller.
 type Packet struct {
@@ -88,7 +91,7 @@
 	Action Action
 	Reason Reason
 	// To, Incarnation and Cookie tell where a forwarded packet goes and what
-	// the ends are to return.
+	// the ends are to return; Incarnation also names an upstream that ended.
 	To          netip.AddrPort
 	Incarnation uint64
 	Cookie      uint32
@@ -98,4 +101,8 @@
 	Revision uint64
 	Sequence uint64
 	Live     bool
+	// Predicted and UnderWay are why a service counts as overloaded: the response
+	// time that a request would have, and the requests that wait for an answer.
+	Predicted time.Duration
+	UnderWay  int
 }
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -37,8 +37,9 @@
 	flows    map[Flow]*flow
 	zones    map[string]*suspicion
 	services map[string]*service
-	goals    map[string]goal
-	swept    time.Time
+	// urgent is the best priority among the routes to each service.
+	urgent map[string]int
+	swept  time.Time
 	// drawn is when the upstreams were first told.
 	drawn time.Time
 	// turn moves on with each choice, so that equal upstreams take turns.
@@ -50,7 +51,7 @@
 	return &Router{
 		settings: s, routes: map[netip.AddrPort]configuration.Route{}, targets: map[uint64]*target{},
 		cookies: map[uint32]*target{}, members: map[string][]*target{}, pools: map[string][]*target{}, flows: map[Flow]*flow{},
-		zones: map[string]*suspicion{}, services: map[string]*service{}, goals: map[string]goal{},
+		zones: map[string]*suspicion{}, services: map[string]*service{}, urgent: map[string]int{},
 	}
 }
 
@@ -66,11 +67,13 @@
 	}
 	r.revision = c.Revision
 	r.routes = make(map[netip.AddrPort]configuration.Route, len(c.Routes))
-	r.goals = map[string]goal{}
+	r.urgent = map[string]int{}
 	for _, x := range c.Routes {
 		r.routes[x.Address] = x
 		for _, b := range x.Backends() {
-			r.goals[b.Service] = r.goals[b.Service].with(x)
+			if best, known := r.urgent[b.Service]; !known || x.Priority < best {
+				r.urgent[b.Service] = x.Priority
+			}
 		}
 	}
 	return nil
@@ -191,10 +194,11 @@
 		return Verdict{Action: Drop, Reason: UnknownCookie}
 	}
 	if t.Ended {
+		v := Verdict{Action: Reset, Reason: Ended, Incarnation: t.Incarnation, Revision: r.revision, Sequence: t.Sequence}
 		if p.Reset {
-			return Verdict{Action: Drop, Reason: Ended}
+			v.Action = Drop
 		}
-		return Verdict{Action: Reset, Reason: Ended}
+		return v
 	}
 	r.note(now, p.Flow(), t, p)
 	return r.forward(t, Known)
@@ -231,8 +235,8 @@
 	number := k.number()
 	service := pick(route.Backends(), number)
 	settled := now.Sub(r.drawn) >= settleFor
-	if settled && !r.admits(now, service, route, number) {
-		return Verdict{Action: Reset, Reason: Overloaded, Revision: r.revision}
+	if v, refused := r.refuses(now, service, route, number); refused && settled {
+		return v
 	}
 	t := r.choose(now, service, route.Class)
 	if t == nil && !settled {
@@ -245,12 +249,20 @@
 	return r.forward(t, Placed)
 }
 
-// admits says whether a service takes a new flow of a route under its load.
-func (r *Router) admits(now time.Time, name string, route configuration.Route, number uint64) bool {
+// refuses returns the verdict on a new flow of a route that its service, under its
+// load, does not take.
+func (r *Router) refuses(now time.Time, name string, route configuration.Route, number uint64) (Verdict, bool) {
 	s := r.service(name)
-	return s.admission.Admits(now, s.underWay, admission.Demand{
-		Objective: route.Objective, Urgent: route.Priority == r.goals[name].urgent, Number: number >> 32,
-	})
+	predicted := s.admission.ResponseTime(now, s.underWay)
+	d := admission.Demand{
+		Objective: route.Objective, Urgent: route.Priority == r.urgent[name], Number: number >> 32,
+	}
+	if d.Admitted(predicted) {
+		return Verdict{}, false
+	}
+	return Verdict{
+		Action: Reset, Reason: Overloaded, Revision: r.revision, Predicted: predicted, UnderWay: s.underWay,
+	}, true
 }
 
 // answered notes how long a request to an upstream took. An upstream that is
--- a/internal/cookie/router/router_test.go
+++ b/internal/cookie/router/router_test.go
@@ -70,8 +70,8 @@
 		{"open flow", router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(1)}, router.Forward, router.Known, 1},
 		{"flow seen first here", router.Packet{Caller: caller(7), Address: notes, Cookie: router.Cookie(2)}, router.Forward, router.Known, 2},
 		{"draining upstream's flow", router.Packet{Caller: caller(8), Address: orders, Cookie: router.Cookie(4)}, router.Forward, router.Known, 4},
-		{"ended upstream's flow", router.Packet{Caller: caller(9), Address: orders, Cookie: router.Cookie(3)}, router.Reset, router.Ended, 0},
-		{"reset to an ended upstream", router.Packet{Caller: caller(9), Cookie: router.Cookie(3), Reset: true}, router.Drop, router.Ended, 0},
+		{"ended upstream's flow", router.Packet{Caller: caller(9), Address: orders, Cookie: router.Cookie(3)}, router.Reset, router.Ended, 3},
+		{"reset to an ended upstream", router.Packet{Caller: caller(9), Cookie: router.Cookie(3), Reset: true}, router.Drop, router.Ended, 3},
 		{"unknown cookie", router.Packet{Caller: caller(9), Address: orders, Cookie: 99}, router.Drop, router.UnknownCookie, 0},
 		{"neither opening nor open", router.Packet{Caller: caller(9), Address: orders}, router.Drop, router.Stray, 0},
 	} {
--- a/internal/daemon/cookie/reports.go
+++ b/internal/daemon/cookie/reports.go
@@ -46,9 +46,14 @@
 		"Caller", p.Caller.String(), "Address", p.Address.String(), "Copy", p.Copy, "Action", v.Action.String(),
 		"Reason", v.Reason.String(), "Cookie", p.Cookie, "Revision", v.Revision,
 	}
+	if v.Incarnation != 0 {
+		args = append(args, "Incarnation", fmt.Sprintf("%x", v.Incarnation), "Sequence", v.Sequence)
+	}
+	if v.Reason == router.Overloaded {
+		args = append(args, "Predicted", v.Predicted.String(), "UnderWay", v.UnderWay)
+	}
 	if v.Action == router.Forward {
-		args = append(args, "To", v.To.String(), "Incarnation", fmt.Sprintf("%x", v.Incarnation),
-			"Sequence", v.Sequence, "Live", v.Live)
+		args = append(args, "To", v.To.String(), "Live", v.Live)
 	}
 	log.Info("flow", args...)
 }
--- a/internal/log/story/causes.go
+++ b/internal/log/story/causes.go
@@ -35,7 +35,7 @@
 	case "Overloaded":
 		return "reset: the service answered later than the route's objective; the caller may come back"
 	case "Ended":
-		return "reset: the flow's upstream is gone"
+		return "reset: the flow's upstream " + l.Incarnation + " is gone"
 	case "Unconfigured":
 		return "not placed: the balancer had no configuration yet"
 	case "UnknownCookie":
@@ -58,7 +58,7 @@
 
 // afterwards says what became of the upstream that a flow was sent to.
 func afterwards(shown []line, placed line) []string {
-	if placed.Incarnation == "" {
+	if placed.Incarnation == "" || placed.Reason == "Ended" {
 		return nil
 	}
 	for _, l := range shown {
--- a/internal/log/story/story.go
+++ b/internal/log/story/story.go
@@ -99,6 +99,10 @@
 		}
 	}
 	held := s.heldBefore(asked[0].At, processes)
+	if q.Incarnation != "" {
+		// An upstream's life is long; only what was believed near its end matters.
+		from = to.Add(-2 * around)
+	}
 	return lo.Filter(s.lines, func(l line, _ int) bool {
 		within := !l.At.Before(from) && !l.At.After(to)
 		switch {
