--- a/internal/log/outlet/outlet.go
+++ b/internal/log/outlet/outlet.go
@@ -1,6 +1,7 @@
 package outlet
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -62,13 +63,24 @@
 	defer close(o.done)
 	for range o.wake {
 		lines, closed := o.take()
-		if _, err := o.to.Write(lines); err != nil || closed {
-			// Nobody reads the log any more; there is nowhere to say so.
+		if n, err := o.to.Write(lines); err != nil {
+			// A disk that is full takes lines again later; there is nowhere to say
+			// so before that.
+			o.lose(bytes.Count(lines[n:], []byte{'\n'}))
+		}
+		if closed {
 			return
 		}
 	}
 }
 
+// lose counts lines that the destination did not take.
+func (o *Outlet) lose(n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.dropped += n
+}
+
 func (o *Outlet) take() ([]byte, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -9,11 +9,17 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // stopTimeout is how long a planned stop may take before it counts as stuck.
 const stopTimeout = 10 * time.Second
 
+// fullAt is the size at which files cannot grow any more while a disk is full, in
+// bytes: within the first records of a log.
+const fullAt = 100
+
 // ExitError says that a process ended by itself, or did not end when asked to.
 type ExitError struct {
 	Name   string
@@ -102,6 +108,21 @@
 // Hangup tells the process to read its settings again.
 func (p *Process) Hangup() { p.signal(syscall.SIGHUP, false) }
 
+// FillDisk lets the kernel refuse every write of the process beyond the first bytes
+// of a file, as a disk does that fills up in the middle of a record.
+func (p *Process) FillDisk() { p.limitFiles(fullAt) }
+
+// FreeDisk lets the process write again.
+func (p *Process) FreeDisk() { p.limitFiles(unix.RLIM_INFINITY) }
+
+func (p *Process) limitFiles(bytes uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}
+	// It fails only where the process has just ended, whose next life has no limit.
+	_ = unix.Prlimit(p.command.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil)
+}
+
 // Check returns an ExitError where the process ended without being told to.
 func (p *Process) Check() error {
 	p.mu.Lock()
--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -22,8 +22,12 @@
 // disturb injects faults in the order that the seed gives.
 func (r *Run) disturb(ctx context.Context) {
 	random := rand.New(rand.NewPCG(r.settings.Seed, 1))
+	// Faults of disks have a generator of their own, so that the others of a seed
+	// that once failed stay the same.
+	disks := rand.New(rand.NewPCG(r.settings.Seed, 2))
 	for end := time.Now().Add(r.settings.For); time.Now().Before(end) && ctx.Err() == nil; {
 		r.fault(random)
+		r.diskFault(disks)
 		time.Sleep(time.Duration(random.Int64N(int64(gapMost))))
 		r.checkExits()
 	}
@@ -72,6 +76,51 @@
 	}
 }
 
+// diskShare is how many faults there are for one of a disk.
+const diskShare = 5
+
+// diskFault lets a voter's disk refuse writes for a while, or end in the middle of a
+// record that was never synced, as after a loss of power.
+func (r *Run) diskFault(random *rand.Rand) {
+	kind, voter := random.IntN(2*diskShare), random.IntN(voters)
+	lasts := time.Duration(random.Int64N(int64(faultMost)))
+	torn := make([]byte, 1+random.IntN(tornMost))
+	p := r.processes[fmt.Sprint("voter-", voter)]
+	switch kind {
+	case 0:
+		r.noteFault()
+		p.FillDisk()
+		time.AfterFunc(lasts, p.FreeDisk)
+	case 1:
+		r.noteFault()
+		p.Resume()
+		p.Kill()
+		r.tear(p, torn)
+		r.restart(p)
+	}
+}
+
+// tornMost is the longest torn record in bytes.
+const tornMost = 60
+
+// tear appends the beginning of a record to the log of a voter that is down.
+func (r *Run) tear(p *fleet.Process, torn []byte) {
+	f, err := os.OpenFile(filepath.Join(r.settings.Folder, p.Name, logFile), os.O_APPEND|os.O_WRONLY, 0)
+	if os.IsNotExist(err) {
+		return
+	}
+	if err == nil {
+		_, err = f.Write(torn)
+		_ = f.Close()
+	}
+	if err != nil {
+		r.broken(PromiseExit, err.Error())
+	}
+}
+
+// logFile is the voters' log in their data folder.
+const logFile = "log"
+
 func (r *Run) restart(p *fleet.Process) {
 	if err := p.Start(); err != nil {
 		r.broken(PromiseExit, err.Error())
