--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -16,6 +16,10 @@
 type Settings struct {
 	// Zone is the availability zone of this balancer.
 	Zone string
+	// Seed differs between balancers: those that start together, and know nothing
+	// of each other's flows, would otherwise send their first ones to the same
+	// upstreams.
+	Seed uint64
 	// Suspected is told of an upstream that left a packet unanswered, if set.
 	Suspected func(view.Target)
 	// Opened is told how long the caller of a new flow waited until it was open,
@@ -46,10 +50,13 @@
 	turn int
 }
 
+// turns bounds where a balancer's first turn may be.
+const turns = 1 << 16
+
 // New returns a router that drops everything until it is configured.
 func New(s Settings) *Router {
 	return &Router{
-		settings: s, routes: map[netip.AddrPort]configuration.Route{}, targets: map[uint64]*target{},
+		settings: s, turn: int(s.Seed % turns), routes: map[netip.AddrPort]configuration.Route{}, targets: map[uint64]*target{},
 		cookies: map[uint32]*target{}, members: map[string][]*target{}, pools: map[string][]*target{}, flows: map[Flow]*flow{},
 		zones: map[string]*suspicion{}, services: map[string]*service{}, urgent: map[string]int{},
 	}
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"wasabideal/internal/control/feed"
@@ -116,7 +117,7 @@
 		b.uploads = newUploads(s.LinkBytesPerSecond)
 	}
 	b.router = router.New(router.Settings{
-		Zone: s.Zone, Suspected: b.suspected, Opened: b.counts.opened.Record, Answered: b.counts.answered.Record,
+		Zone: s.Zone, Seed: xxhash.Sum64String(s.Fabric), Suspected: b.suspected, Opened: b.counts.opened.Record, Answered: b.counts.answered.Record,
 	})
 	b.follower = follower.New(s.Token, s.Clock, b, log)
 	return b, nil
