--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
 	"wasabideal/internal/control/agreement"
 	"wasabideal/internal/control/audit"
@@ -21,6 +22,7 @@
 	"wasabideal/internal/control/keeper"
 	"wasabideal/internal/control/upstreams"
 	"wasabideal/internal/control/voter"
+	"wasabideal/internal/cookie/follower"
 	"wasabideal/internal/disk/folder"
 	"wasabideal/internal/disk/local"
 	"wasabideal/internal/disk/wal"
@@ -73,9 +75,12 @@
 	feed     *feed.Feed
 	// upstreams takes announcements of upstreams for balancers that follow the feed.
 	upstreams *upstreams.Upstreams
-	server    *rpc.Server
-	cancel    context.CancelFunc
-	running   sync.WaitGroup
+	// follower hears what the other voters tell of upstreams, others keeps it.
+	follower *follower.Follower
+	others   *others
+	server   *rpc.Server
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
 }
 
 // Listen opens the data folder and the port; listener may be nil to open Rpc.
@@ -121,6 +126,8 @@
 		Token: c.settings.GroupToken, Clock: c.settings.Clock, Self: c.Advertised(),
 		Known: c.voter.Members, Voting: c.voter.Voting,
 	}, c.feed, c.log)
+	c.others = newOthers(c.settings.Clock)
+	c.follower = follower.New(c.settings.GroupToken, c.settings.Clock, c.others, c.log)
 	c.recallUpstreams()
 	c.server = rpc.NewServer(c.voter.Denied)
 	c.voter.Serve(c.server)
@@ -183,6 +190,7 @@
 // Start begins to serve and returns at once.
 func (c *Control) Start(ctx context.Context) {
 	ctx, c.cancel = context.WithCancel(ctx)
+	c.follower.Start(ctx, lo.Map(c.settings.Founders, func(v agreement.Voter, _ int) string { return v.Address }))
 	c.running.Add(3)
 	go func() {
 		defer c.running.Done()
@@ -221,6 +229,7 @@
 		c.cancel()
 	}
 	_ = c.listener.Close()
+	c.follower.Wait()
 	c.running.Wait()
 	_ = c.folder.Close()
 }
--- a/internal/daemon/control/control_test.go
+++ b/internal/daemon/control/control_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -182,6 +183,33 @@
 	require.False(t, a.Notices[0].Silent)
 }
 
+// Symptom: after a loss of power everywhere callers' first flows crowded on a third
+// of the upstreams.
+// Events: upstreams announce themselves to different voters; all voters restart, and
+// one answers balancers before the others run.
+// Cause: each voter's disk held only the upstreams that had spoken to it.
+func TestRestartedVoterRecallsUpstreamsOfOthers(t *testing.T) {
+	f := newFleet(t, 3)
+	f.voting(3)
+	one, other := f.founders[0].Address, f.founders[1].Address
+	u := upstream.Upstream{
+		Identity: upstream.Identity{Service: "orders", Incarnation: 7, Address: netip.MustParseAddrPort("10.0.0.1:80")},
+		Slots:    2, Sequence: 3,
+	}
+	file := filepath.Join(f.folders[one], "upstreams")
+	require.Eventually(t, func() bool {
+		u.Sequence++
+		require.NoError(t, f.running[other].Upstreams().Announce(t.Context(), u, 0))
+		b, err := os.ReadFile(file)
+		return err == nil && bytes.Contains(b, []byte("orders"))
+	}, patience, pace)
+	f.stop(one)
+	c := f.startIn(f.folders[one], listen(t, one), true)
+	a := follow(t, c.Address())
+	require.Len(t, a.Notices, 1)
+	require.Equal(t, u.Identity, a.Notices[0].Upstream.Identity)
+}
+
 // follow asks a voter once, as a balancer does.
 func follow(t *testing.T, address string) feed.Answer {
 	client := rpc.NewClient(address, "group")
--- /dev/null
+++ b/internal/daemon/control/others.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"wasabideal/internal/control/feed"
+	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/upstream/directory"
+	"wasabideal/internal/upstream/view"
+)
+
+// contactLease is how long another voter's word on who is alive holds: two of the
+// follower's questions that got no answer.
+const contactLease = 3 * time.Second
+
+// others is what the other voters tell of upstreams. It goes to the disk only:
+// balancers hear each voter themselves, but after a loss of power everywhere the
+// first voter to answer them has to know all upstreams.
+type others struct {
+	clock func() time.Time
+	mu    sync.Mutex
+	view  *view.View
+	// version rises with what others tell.
+	version uint64
+}
+
+func newOthers(clock func() time.Time) *others {
+	return &others{clock: clock, view: view.New(view.Settings{ContactLease: contactLease, ForgetAfter: forgetUpstream})}
+}
+
+// Held names a configuration that none is newer than: voters agree on
+// configurations in their own way.
+func (o *others) Held() configuration.Configuration {
+	return configuration.Configuration{Revision: math.MaxUint64}
+}
+
+// Offered ignores a configuration.
+func (o *others) Offered(string, configuration.Configuration) {}
+
+// Answered takes a voter's news.
+func (o *others) Answered(address string, a feed.Answer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.view.Take(o.clock(), address, a.Life, a.Notices)
+	if len(a.Notices) > 0 {
+		o.version++
+	}
+}
+
+// changes rises with what others tell.
+func (o *others) changes() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.version
+}
+
+// with adds the upstreams that others hear to those heard here, and returns a
+// number that rises with them.
+func (o *others) with(now time.Time, own []directory.Notice) ([]directory.Notice, uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	heard := make(map[uint64]bool, len(own))
+	for _, n := range own {
+		heard[n.Upstream.Incarnation] = !n.Silent
+	}
+	for _, t := range o.view.Targets(now) {
+		if t.Live && !heard[t.Incarnation] {
+			own = append(own, directory.Notice{Upstream: t.Upstream, Cold: max(t.ColdUntil.Sub(now), 0)})
+		}
+	}
+	return own, o.version
+}
--- a/internal/daemon/control/recall.go
+++ b/internal/daemon/control/recall.go
@@ -28,13 +28,13 @@
 	agePace = 100 * time.Millisecond
 )
 
-// keepUpstreams ages announcements, and writes them to the disk when they
-// change, so that a restart of all voters at once does not leave the balancers
+// keepUpstreams ages announcements, and writes them and what other voters hear to
+// the disk when they change, so that a restart of all voters at once does not leave the balancers
 // without upstreams until each has announced itself again.
 func (c *Control) keepUpstreams(ctx context.Context) {
 	t := time.NewTicker(agePace)
 	defer t.Stop()
-	var written uint64
+	var written, writtenOthers uint64
 	var due time.Time
 	var failing bool
 	for {
@@ -46,14 +46,15 @@
 		now := c.settings.Clock()
 		c.feed.SetMembers(c.voter.Members())
 		c.feed.Tick(now)
-		if c.feed.Version() == written || now.Before(due) {
+		if now.Before(due) || c.feed.Version() == written && c.others.changes() == writtenOthers {
 			continue
 		}
 		notices, version := c.feed.Notices(now)
+		notices, versionOthers := c.others.with(now, notices)
 		due = now.Add(recallEvery + time.Duration(len(notices))*recallEach)
 		err := c.writeUpstreams(notices)
 		if err == nil {
-			written = version
+			written, writtenOthers = version, versionOthers
 		} else if !failing {
 			c.log.Warn("upstreams are not on disk", "Error", err)
 		}
