--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/upstream/directory"
@@ -35,6 +37,10 @@
 	// Life and Version are those of the voter's directory that the balancer
 	// heard last.
 	Life, Version uint64
+	// Recalled asks for upstreams, too, that this voter has not heard itself since
+	// it restarted. A balancer that has just started needs them from one voter; from
+	// each they would fill the links of a fleet of hundreds.
+	Recalled bool
 	// Hold is how long the answer may wait for news.
 	Hold time.Duration
 }
@@ -109,6 +115,13 @@
 	return news
 }
 
+// Recall takes an upstream that another voter heard before this one restarted.
+func (f *Feed) Recall(now time.Time, u upstream.Upstream, cold time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.directory.Recall(now, u, cold)
+}
+
 // tell wakes balancers for news of upstreams, unless it did so just before; Tick
 // makes up for it.
 func (f *Feed) tell(now time.Time) {
@@ -187,6 +200,9 @@
 		Revision: f.history.Current().Revision, Life: f.life, Version: f.directory.Version(),
 		Notices: f.directory.Since(f.clock(), version), Members: f.members,
 	}
+	if !q.Recalled {
+		a.Notices = lo.Reject(a.Notices, func(n directory.Notice, _ int) bool { return n.Recalled })
+	}
 	// What is still being gathered goes along with other news, and alone later.
 	news := q.Life != f.life || a.Revision > q.Revision || a.Version > version && !f.pending
 	return a, news, f.changed
--- a/internal/control/feed/feed_test.go
+++ b/internal/control/feed/feed_test.go
@@ -63,3 +63,15 @@
 	require.Nil(t, f.Configuration(4).Whole)
 	require.NotNil(t, f.Configuration(0).Whole)
 }
+
+// Symptom: after a loss of power everywhere each balancer took all upstreams from
+// each voter; voters' links were full, and announcements were answered late.
+// Events: voters recall the upstreams of all of them; balancers ask each.
+// Cause: what a voter had not heard itself was told to whoever asked.
+func TestRecalledUpstreamsAreForThoseWhoAsk(t *testing.T) {
+	f := newFeed()
+	f.Announce(epoch, announced(1), 0)
+	f.Recall(epoch, announced(2), 0)
+	require.Len(t, f.Since(t.Context(), feed.Question{}).Notices, 1)
+	require.Len(t, f.Since(t.Context(), feed.Question{Recalled: true}).Notices, 2)
+}
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -31,6 +31,8 @@
 type Listener interface {
 	// Held returns the configuration in force.
 	Held() configuration.Configuration
+	// Informed says that upstreams are known already.
+	Informed() bool
 	// Offered takes a configuration of the voter at an address.
 	Offered(address string, c configuration.Configuration)
 	// Answered takes the news of the voter at an address.
@@ -133,7 +135,7 @@
 }
 
 func (f *Follower) once(client *rpc.Client, address string, q *feed.Question) error {
-	q.Hold = hold
+	q.Hold, q.Recalled = hold, !f.listener.Informed()
 	ctx, cancel := context.WithTimeout(f.ctx, hold+grace)
 	defer cancel()
 	a, err := rpc.Call[feed.Question, feed.Answer](ctx, client, feed.SinceMethod, *q)
--- a/internal/cookie/follower/follower_test.go
+++ b/internal/cookie/follower/follower_test.go
@@ -79,6 +79,8 @@
 	return l.held
 }
 
+func (l *listener) Informed() bool { return false }
+
 func (l *listener) Offered(_ string, c configuration.Configuration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/daemon/control/control_test.go
+++ b/internal/daemon/control/control_test.go
@@ -216,7 +216,7 @@
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
-	a, err := rpc.Call[feed.Question, feed.Answer](ctx, client, feed.SinceMethod, feed.Question{})
+	a, err := rpc.Call[feed.Question, feed.Answer](ctx, client, feed.SinceMethod, feed.Question{Recalled: true})
 	require.NoError(t, err)
 	return a
 }
--- a/internal/daemon/control/others.go
+++ b/internal/daemon/control/others.go
@@ -36,6 +36,9 @@
 	return configuration.Configuration{Revision: math.MaxUint64}
 }
 
+// Informed keeps what others recalled out: it would never grow old.
+func (o *others) Informed() bool { return true }
+
 // Offered ignores a configuration.
 func (o *others) Offered(string, configuration.Configuration) {}
 
@@ -67,7 +70,7 @@
 	}
 	for _, t := range o.view.Targets(now) {
 		if t.Live && !heard[t.Incarnation] {
-			own = append(own, directory.Notice{Upstream: t.Upstream, Cold: max(t.ColdUntil.Sub(now), 0)})
+			own = append(own, directory.Notice{Upstream: t.Upstream, Cold: max(t.ColdUntil.Sub(now), 0), Recalled: true})
 		}
 	}
 	return own, o.version
--- a/internal/daemon/control/recall.go
+++ b/internal/daemon/control/recall.go
@@ -87,7 +87,11 @@
 	}
 	now := c.settings.Clock()
 	for _, n := range notices {
-		if !n.Silent && !n.Replaced {
+		switch {
+		case n.Silent || n.Replaced:
+		case n.Recalled:
+			c.feed.Recall(now, n.Upstream, n.Cold)
+		default:
 			c.feed.Announce(now, n.Upstream, n.Cold)
 		}
 	}
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -158,6 +158,13 @@
 	return b.held
 }
 
+// Informed says that upstreams are known already.
+func (b *Balancer) Informed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.router.Upstreams() > 0
+}
+
 // Offered puts a configuration in force if it is newer.
 func (b *Balancer) Offered(address string, c configuration.Configuration) {
 	b.mu.Lock()
--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -30,6 +30,9 @@
 	Replaced bool
 	// Age is the time since the last announcement.
 	Age time.Duration
+	// Recalled says that it was not heard here: another voter heard it before this
+	// one restarted.
+	Recalled bool
 }
 
 type entry struct {
@@ -38,6 +41,7 @@
 	heard     time.Time
 	silent    bool
 	replaced  bool
+	recalled  bool
 	// changed is the directory's version when others last had to be told.
 	changed uint64
 }
@@ -71,7 +75,7 @@
 	}
 	e := &entry{Upstream: u, coldUntil: now.Add(cold), heard: now}
 	d.entries[u.Incarnation] = e
-	news = old == nil || old.silent || old.replaced || !sameBut(old.Upstream, u)
+	news = old == nil || old.silent || old.replaced || old.recalled || !sameBut(old.Upstream, u)
 	if !news {
 		e.changed = old.changed
 	}
@@ -82,6 +86,19 @@
 	return false, true
 }
 
+// Recall takes an upstream that another voter heard before a restart, if it is not
+// known. It is forgotten without a word where it is not heard here: in a fleet of
+// thousands its silence would be news for each of them to every balancer from each
+// voter, seconds after a loss of power everywhere.
+func (d *Directory) Recall(now time.Time, u upstream.Upstream, cold time.Duration) {
+	if d.entries[u.Incarnation] != nil {
+		return
+	}
+	e := &entry{Upstream: u, coldUntil: now.Add(cold), heard: now, recalled: true}
+	d.entries[u.Incarnation] = e
+	d.tell(e)
+}
+
 // sameBut says that two announcements differ in their sequence only.
 func sameBut(a, b upstream.Upstream) bool {
 	a.Sequence = b.Sequence
@@ -115,7 +132,7 @@
 	before := d.version
 	for id, e := range d.entries {
 		age := now.Sub(e.heard)
-		if age > d.settings.ForgetAfter {
+		if age > d.settings.ForgetAfter || e.recalled && age > d.settings.SilentAfter {
 			delete(d.entries, id)
 			if d.holders[e.Address] == id {
 				delete(d.holders, e.Address)
@@ -150,5 +167,6 @@
 func (e *entry) notice(now time.Time) Notice {
 	return Notice{
 		Upstream: e.Upstream, Cold: max(e.coldUntil.Sub(now), 0), Silent: e.silent, Replaced: e.replaced, Age: now.Sub(e.heard),
+		Recalled: e.recalled,
 	}
 }
--- a/internal/upstream/directory/directory_test.go
+++ b/internal/upstream/directory/directory_test.go
@@ -87,3 +87,28 @@
 	}
 	return out
 }
+
+// Symptom: seconds after a loss of power everywhere voters sent megabytes to each of
+// 290 balancers, and upstreams that got no answer in time all turned to one voter.
+// Events: each voter recalls 3,000 upstreams, most of which speak to other voters.
+// Cause: each of them was news again when it was overdue here.
+func TestSilenceOfARecalledUpstreamIsNoNews(t *testing.T) {
+	d := newDirectory()
+	d.Recall(epoch, announced(1, 7, upstream.Ready), 0)
+	require.True(t, d.Since(epoch, 0)[0].Recalled)
+	version := d.Version()
+	require.False(t, d.Tick(epoch.Add(5*time.Second)))
+	require.Empty(t, d.Since(epoch.Add(5*time.Second), version))
+	require.Empty(t, d.Since(epoch.Add(5*time.Second), 0))
+}
+
+func TestRecalledUpstreamThatIsHeardIsNews(t *testing.T) {
+	d := newDirectory()
+	d.Recall(epoch, announced(1, 7, upstream.Ready), 0)
+	news, newer := d.Announce(epoch.Add(time.Second), announced(1, 8, upstream.Ready), 0)
+	require.True(t, news)
+	require.True(t, newer)
+	require.False(t, d.Since(epoch, 0)[0].Recalled)
+	d.Recall(epoch.Add(time.Second), announced(1, 7, upstream.Ready), 0)
+	require.False(t, d.Since(epoch, 0)[0].Recalled, "what is heard here is not recalled")
+}
--- a/internal/upstream/view/view.go
+++ b/internal/upstream/view/view.go
@@ -15,7 +15,7 @@
 	// answer from it.
 	ContactLease time.Duration
 	// InheritFor is how long upstreams count as alive that only a voter's life
-	// before its restart has heard.
+	// before its restart, or another voter before that, has heard.
 	InheritFor time.Duration
 	// ForgetAfter is how long an upstream is remembered that no voter tells of.
 	ForgetAfter time.Duration
@@ -91,7 +91,13 @@
 	}
 	s.contact = now
 	for _, n := range notices {
-		s.notices[n.Upstream.Incarnation] = told{Notice: n, at: now}
+		t := told{Notice: n, at: now}
+		if n.Recalled {
+			// The voter forgets it without a word unless it hears it itself.
+			s.inherited = now.Add(v.settings.InheritFor)
+			t.until = s.inherited
+		}
+		s.notices[n.Upstream.Incarnation] = t
 		v.changed[n.Upstream.Incarnation] = true
 	}
 	v.forget(now)
--- a/internal/upstream/view/view_test.go
+++ b/internal/upstream/view/view_test.go
@@ -101,6 +101,18 @@
 	require.True(t, v.Targets(after(4))[0].Ended)
 }
 
+func TestRecalledUpstreamCountsForAWhile(t *testing.T) {
+	v := newView()
+	recalled := notice(1, upstream.Ready)
+	recalled.Recalled = true
+	v.Take(epoch, "v1", 1, []directory.Notice{recalled})
+	require.True(t, v.Targets(epoch)[0].Live)
+	v.Take(after(6), "v1", 1, nil)
+	require.False(t, v.Targets(after(6))[0].Live, "nobody has heard it since")
+	v.Take(after(7), "v1", 1, []directory.Notice{notice(2, upstream.Ready)})
+	require.True(t, v.Targets(after(7))[0].Live)
+}
+
 // whole says whether time alone changed what the view tells.
 func whole(v *view.View, now time.Time) bool {
 	c, _ := v.Changes(now)
@@ -162,6 +174,7 @@
 				n.Upstream.Service = []string{"orders", "notes"}[n.Upstream.Incarnation%2]
 				n.Silent = rapid.Bool().Draw(t, "silent")
 				n.Replaced = rapid.IntRange(0, 4).Draw(t, "replaced") == 0
+				n.Recalled = rapid.IntRange(0, 4).Draw(t, "recalled") == 0
 				notices = append(notices, n)
 			}
 			v.Take(now, name, lives[name], notices)
