--- a/internal/cookie/admission/admission_test.go
+++ b/internal/cookie/admission/admission_test.go
@@ -13,11 +13,14 @@
 
 const objective = 100 * time.Millisecond
 
+// usual is what is under way ordinarily.
+const usual = 10
+
 // answered returns an admission that has just seen so many answers.
-func answered(n int, took time.Duration, beside int) *admission.Admission {
+func answered(n int, took time.Duration) *admission.Admission {
 	a := &admission.Admission{}
 	for range n {
-		a.Answered(epoch, took, beside)
+		a.Answered(epoch, took, usual)
 	}
 	return a
 }
@@ -48,7 +51,7 @@
 		{"all", 90 * time.Millisecond, 1, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			a := answered(20, c.took, 10)
+			a := answered(20, c.took)
 			require.InDelta(t, c.ordinary, refused(a, epoch, 10, false), 0.01)
 			require.InDelta(t, c.urgent, refused(a, epoch, 10, true), 0.01)
 		})
@@ -56,8 +59,8 @@
 }
 
 func TestTooFewOrOldAnswersTurnNobodyAway(t *testing.T) {
-	require.Zero(t, refused(answered(7, time.Second, 10), epoch, 10, false))
-	a := answered(20, time.Second, 10)
+	require.Zero(t, refused(answered(7, time.Second), epoch, 10, false))
+	a := answered(20, time.Second)
 	require.Equal(t, 1.0, refused(a, epoch.Add(149*time.Millisecond), 10, false))
 	require.Zero(t, refused(a, epoch.Add(150*time.Millisecond), 10, false))
 	require.True(t, admission.Demand{}.Admitted(time.Hour), "a flow without an objective is never late")
@@ -68,7 +71,7 @@
 // of their answers is late after that.
 // Cause: answers tell of the queue that earlier requests met.
 func TestBurstIsSeenBeforeItsFirstAnswer(t *testing.T) {
-	a := answered(20, 25*time.Millisecond, 10)
+	a := answered(20, 25*time.Millisecond)
 	require.Zero(t, refused(a, epoch, 10, false))
 	require.Equal(t, 1.0, refused(a, epoch, 30, false))
 	require.Equal(t, 12500*time.Microsecond, a.ResponseTime(epoch, 0), "never below half")
@@ -79,7 +82,7 @@
 // Events: upstreams whose queues are full refuse every other request at once.
 // Cause: the refusals made the mean short.
 func TestRefusalsAtOnceAreNoShortAnswers(t *testing.T) {
-	a := answered(14, 5*time.Millisecond, 10)
+	a := answered(14, 5*time.Millisecond)
 	for range 16 {
 		a.Answered(epoch, 130*time.Millisecond, 10)
 	}
@@ -87,7 +90,7 @@
 }
 
 func TestSlowestQuarterIsLeftOut(t *testing.T) {
-	a := answered(15, 25*time.Millisecond, 10)
+	a := answered(15, 25*time.Millisecond)
 	for range 5 {
 		a.Answered(epoch, time.Second, 10)
 	}
--- a/internal/cookie/response/response_test.go
+++ b/internal/cookie/response/response_test.go
@@ -12,12 +12,12 @@
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // upstreams returns upstreams that answered once after some milliseconds.
-func upstreams(took ...time.Duration) []*response.Response {
+func upstreams(milliseconds ...int) []*response.Response {
 	var all []*response.Response
-	for _, d := range took {
+	for _, ms := range milliseconds {
 		r := &response.Response{}
-		if d > 0 {
-			r.Answered(epoch, d*time.Millisecond)
+		if ms > 0 {
+			r.Answered(epoch, time.Duration(ms)*time.Millisecond)
 		}
 		all = append(all, r)
 	}
@@ -36,15 +36,15 @@
 func TestSlownessIsThatBesideTheMiddle(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		took []time.Duration
+		took []int
 		want []float64
 	}{
-		{"alone", []time.Duration{500}, []float64{1}},
-		{"without an answer", []time.Duration{0, 25}, []float64{1, 1}},
-		{"like the others", []time.Duration{20, 25, 30}, []float64{1, 1, 1}},
-		{"one is slow", []time.Duration{25, 150, 25}, []float64{1, 6, 1}},
-		{"most are slow", []time.Duration{25, 150, 150}, []float64{1, 1, 1}},
-		{"bounded", []time.Duration{25, 2000, 25}, []float64{1, 10, 1}},
+		{"alone", []int{500}, []float64{1}},
+		{"without an answer", []int{0, 25}, []float64{1, 1}},
+		{"like the others", []int{20, 25, 30}, []float64{1, 1, 1}},
+		{"one is slow", []int{25, 150, 25}, []float64{1, 6, 1}},
+		{"most are slow", []int{25, 150, 150}, []float64{1, 1, 1}},
+		{"bounded", []int{25, 2000, 25}, []float64{1, 10, 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			require.InDeltaSlice(t, c.want, slowness(upstreams(c.took...), epoch), 0.01)
--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -93,7 +93,7 @@
 		if f.working {
 			f.working = false
 			t.count(0, -1)
-			r.answered(now, f)
+			r.answered(now, f, r.Class(p.Address))
 		}
 	}
 	r.noteData(now, f, t, p)
--- a/internal/cookie/router/load_test.go
+++ b/internal/cookie/router/load_test.go
@@ -254,3 +254,29 @@
 	require.GreaterOrEqual(t, with, 0.95)
 	require.Less(t, float64(s.turned), 0.02*float64(s.wanted), "nine others have room")
 }
+
+// Symptom: feeds were refused on a quiet day.
+// Events: a route sends part of its flows to the service that also takes uploads,
+// whose bodies are on the way for 0.9 s.
+// Cause: the time that uploads take counted as the service's response time.
+func TestUploadsDoNotCountForShortRequests(t *testing.T) {
+	r := router.New(router.Settings{Zone: "a"})
+	require.NoError(t, r.Configure(configuration.Configuration{Revision: 1, Routes: []configuration.Route{
+		{Name: "feed", Address: orders, Service: "mixed", Objective: objective, Priority: 2},
+		{Name: "upload", Address: notes, Service: "mixed", Objective: time.Second, Class: configuration.Upload, Priority: 2},
+	}}))
+	r.SetTargets(epoch.Add(-time.Minute), []view.Target{target(1, "mixed", "a")})
+	for n := range 20 {
+		p := router.Packet{Caller: caller(n), Address: notes, Opening: true}
+		p.Cookie = r.Route(epoch, p).Cookie
+		p.Opening, p.Length = false, 1000
+		r.Route(epoch, p)
+		p.Sequence, p.Length, p.Acknowledged = 1000, 0, 300
+		r.Route(epoch.Add(900*time.Millisecond), p)
+	}
+	v := r.Route(epoch.Add(900*time.Millisecond), opening(100))
+	require.Equal(t, router.Placed, v.Reason)
+	require.Equal(t, router.Overloaded, r.Route(epoch.Add(900*time.Millisecond), router.Packet{
+		Caller: caller(101), Address: notes, Opening: true,
+	}).Reason, "further uploads are late")
+}
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -260,7 +260,7 @@
 // load, does not take.
 func (r *Router) refuses(now time.Time, name string, route configuration.Route, number uint64) (Verdict, bool) {
 	s := r.service(name)
-	predicted := s.admission.ResponseTime(now, s.underWay)
+	predicted := s.admission(route.Class).ResponseTime(now, s.underWay)
 	d := admission.Demand{
 		Objective: route.Objective, Urgent: route.Priority == r.urgent[name], Number: number >> 32,
 	}
@@ -274,10 +274,10 @@
 
 // answered notes how long a request to an upstream took. An upstream that is
 // slower than the others of its service says nothing of the room that those have.
-func (r *Router) answered(now time.Time, f *flow) {
+func (r *Router) answered(now time.Time, f *flow, class configuration.Class) {
 	t, took := f.target, now.Sub(f.sent)
 	t.response.Answered(now, took)
-	t.service.admission.Answered(now, time.Duration(float64(took)/t.response.Slowness()), f.beside)
+	t.service.admission(class).Answered(now, time.Duration(float64(took)/t.response.Slowness()), f.beside)
 	tell(r.settings.Answered, took)
 }
 
