--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -42,6 +42,8 @@
 	silent    bool
 	replaced  bool
 	recalled  bool
+	// returned says that a replaced upstream was heard once more.
+	returned bool
 	// changed is the directory's version when others last had to be told.
 	changed uint64
 }
@@ -76,6 +78,10 @@
 	e := &entry{Upstream: u, coldUntil: now.Add(cold), heard: now}
 	d.entries[u.Incarnation] = e
 	news = old == nil || old.silent || old.replaced || old.recalled || !sameBut(old.Upstream, u)
+	if u.State == upstream.Ready && d.late(now, old) {
+		e.replaced, e.returned, e.changed = true, true, old.changed
+		return false, true
+	}
 	if !news {
 		e.changed = old.changed
 	}
@@ -105,6 +111,19 @@
 	return a == b
 }
 
+// late says that a replaced upstream's announcement may be one that was delayed,
+// sent before another started at its address: that one is heard, and this one was
+// not since. A delayed one would take the address from an upstream that serves until
+// that announces itself again, and new flows would be sent to one that is gone. A
+// second announcement shows that it lives.
+func (d *Directory) late(now time.Time, old *entry) bool {
+	if old == nil || !old.replaced || old.returned {
+		return false
+	}
+	holder := d.entries[d.holders[old.Address]]
+	return holder != nil && holder.State != upstream.Withdrawn && now.Sub(holder.heard) <= d.settings.SilentAfter
+}
+
 // hold makes the upstream the holder of its address, and says whether another was.
 func (d *Directory) hold(u upstream.Upstream) bool {
 	if u.State == upstream.Withdrawn || !u.Address.IsValid() {
