--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"wasabideal/internal/cookie/admission"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/upstream/view"
 )
@@ -239,6 +238,11 @@
 		}
 		r.forget(k, f)
 	}
+	return r.placeNew(now, k, route)
+}
+
+// placeNew decides where a flow goes whose opening was not seen before.
+func (r *Router) placeNew(now time.Time, k Flow, route configuration.Route) Verdict {
 	number := k.number()
 	service := pick(route.Backends(), number)
 	settled := now.Sub(r.drawn) >= settleFor
@@ -256,31 +260,6 @@
 	return r.forward(t, Placed)
 }
 
-// refuses returns the verdict on a new flow of a route that its service, under its
-// load, does not take.
-func (r *Router) refuses(now time.Time, name string, route configuration.Route, number uint64) (Verdict, bool) {
-	s := r.service(name)
-	predicted := s.admission(route.Class).ResponseTime(now, s.underWay)
-	d := admission.Demand{
-		Objective: route.Objective, Urgent: route.Priority == r.urgent[name], Number: number >> 32,
-	}
-	if d.Admitted(predicted) {
-		return Verdict{}, false
-	}
-	return Verdict{
-		Action: Reset, Reason: Overloaded, Revision: r.revision, Predicted: predicted, UnderWay: s.underWay,
-	}, true
-}
-
-// answered notes how long a request to an upstream took. An upstream that is
-// slower than the others of its service says nothing of the room that those have.
-func (r *Router) answered(now time.Time, f *flow, class configuration.Class) {
-	t, took := f.target, now.Sub(f.sent)
-	t.response.Answered(now, took)
-	t.service.admission(class).Answered(now, time.Duration(float64(took)/t.response.Slowness()), f.beside)
-	tell(r.settings.Answered, took)
-}
-
 // number spreads flows over the backends of a split route.
 func (k Flow) number() uint64 {
 	b := k.Caller.Addr().As4()
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"time"
+
 	"wasabideal/internal/cookie/admission"
 	"wasabideal/internal/model/configuration"
 )
@@ -39,3 +41,28 @@
 	t.working += working
 	t.service.underWay += opening + working
 }
+
+// refuses returns the verdict on a new flow of a route that its service, under its
+// load, does not take.
+func (r *Router) refuses(now time.Time, name string, route configuration.Route, number uint64) (Verdict, bool) {
+	s := r.service(name)
+	predicted := s.admission(route.Class).ResponseTime(now, s.underWay)
+	d := admission.Demand{
+		Objective: route.Objective, Urgent: route.Priority == r.urgent[name], Number: number >> 32,
+	}
+	if d.Admitted(predicted) {
+		return Verdict{}, false
+	}
+	return Verdict{
+		Action: Reset, Reason: Overloaded, Revision: r.revision, Predicted: predicted, UnderWay: s.underWay,
+	}, true
+}
+
+// answered notes how long a request to an upstream took. An upstream that is
+// slower than the others of its service says nothing of the room that those have.
+func (r *Router) answered(now time.Time, f *flow, class configuration.Class) {
+	t, took := f.target, now.Sub(f.sent)
+	t.response.Answered(now, took)
+	t.service.admission(class).Answered(now, time.Duration(float64(took)/t.response.Slowness()), f.beside)
+	tell(r.settings.Answered, took)
+}
