--- a/internal/cookie/backlog/backlog_test.go
+++ b/internal/cookie/backlog/backlog_test.go
@@ -79,7 +79,7 @@
 			_, late := b.Turn(after(now), admit(now))
 			n += len(late)
 			for _, key := range at[now] {
-				if !admit(now)(key) && !(wait && b.Push(after(now), key, key)) {
+				if !admit(now)(key) && (!wait || !b.Push(after(now), key, key)) {
 					n++
 				}
 			}
