--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -117,7 +117,8 @@
 		b.uploads = newUploads(s.LinkBytesPerSecond)
 	}
 	b.router = router.New(router.Settings{
-		Zone: s.Zone, Seed: xxhash.Sum64String(s.Fabric), Suspected: b.suspected, Opened: b.counts.opened.Record, Answered: b.counts.answered.Record,
+		Zone: s.Zone, Seed: xxhash.Sum64String(s.Fabric), Suspected: b.suspected,
+		Opened: b.counts.opened.Record, Answered: b.counts.answered.Record,
 	})
 	b.follower = follower.New(s.Token, s.Clock, b, log)
 	return b, nil
