--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -191,11 +191,15 @@
 func (c *Control) Start(ctx context.Context) {
 	ctx, c.cancel = context.WithCancel(ctx)
 	c.follower.Start(ctx, lo.Map(c.settings.Founders, func(v agreement.Voter, _ int) string { return v.Address }))
-	c.running.Add(3)
+	c.running.Add(4)
 	go func() {
 		defer c.running.Done()
 		c.keepUpstreams(ctx)
 	}()
+	go func() {
+		defer c.running.Done()
+		c.saveUpstreams(ctx)
+	}()
 	go func() {
 		defer c.running.Done()
 		c.voter.Run(ctx)
--- a/internal/daemon/control/control_test.go
+++ b/internal/daemon/control/control_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"wasabideal/internal/control/agreement"
 	"wasabideal/internal/control/feed"
@@ -210,6 +211,48 @@
 	require.Equal(t, u.Identity, a.Notices[0].Upstream.Identity)
 }
 
+// Symptom: balancers heard seconds late that an upstream leaves.
+// Events: a voter's disk hangs while it writes the upstreams known; upstreams
+// announce themselves one right after the other.
+// Cause: whoever wrote also told what was gathered, and waited for the disk.
+func TestDiskThatHangsKeepsNoNewsFromBalancers(t *testing.T) {
+	f := newFleet(t, 1)
+	f.voting(1)
+	name := f.founders[0].Address
+	// Opening a pipe that nobody reads hangs, as a disk may.
+	pipe := filepath.Join(f.folders[name], "upstreams.new")
+	require.NoError(t, unix.Mkfifo(pipe, 0o600))
+	t.Cleanup(func() {
+		reader, err := os.Open(pipe)
+		require.NoError(t, err)
+		require.NoError(t, os.Remove(pipe), "the next try writes a file")
+		require.NoError(t, reader.Close())
+	})
+	// The pipe is opened once a second at the earliest; news after that are told late
+	// where telling waits for it.
+	u := upstream.Upstream{Identity: upstream.Identity{Service: "orders"}, Slots: 2, Sequence: 1}
+	announce := func(incarnation uint64) {
+		u.Incarnation = incarnation
+		require.NoError(t, f.running[name].Upstreams().Announce(t.Context(), u, 0))
+	}
+	announce(1)
+	time.Sleep(1500 * time.Millisecond)
+	held := follow(t, name)
+	announce(2)
+	announce(3)
+	client := rpc.NewClient(name, "group")
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	for heard := len(held.Notices); heard < 3; {
+		a, err := rpc.Call[feed.Question, feed.Answer](ctx, client, feed.SinceMethod, feed.Question{
+			Life: held.Life, Version: held.Version, Hold: time.Hour,
+		})
+		require.NoError(t, err, "the last of them is never told")
+		heard, held.Version = heard+len(a.Notices), a.Version
+	}
+}
+
 // follow asks a voter once, as a balancer does.
 func follow(t *testing.T, address string) feed.Answer {
 	client := rpc.NewClient(address, "group")
--- a/internal/daemon/control/recall.go
+++ b/internal/daemon/control/recall.go
@@ -28,10 +28,26 @@
 	agePace = 100 * time.Millisecond
 )
 
-// keepUpstreams ages announcements, and writes them and what other voters hear to
-// the disk when they change, so that a restart of all voters at once does not leave the balancers
-// without upstreams until each has announced itself again.
+// keepUpstreams ages announcements and tells what was gathered.
 func (c *Control) keepUpstreams(ctx context.Context) {
+	t := time.NewTicker(agePace)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			c.feed.SetMembers(c.voter.Members())
+			c.feed.Tick(c.settings.Clock())
+		}
+	}
+}
+
+// saveUpstreams writes what is heard here and what other voters hear to the disk
+// when it changes, so that a restart of all voters at once does not leave the
+// balancers without upstreams until each has announced itself again. It runs beside
+// keepUpstreams: a disk that hangs must not keep news from balancers.
+func (c *Control) saveUpstreams(ctx context.Context) {
 	t := time.NewTicker(agePace)
 	defer t.Stop()
 	var written, writtenOthers uint64
@@ -44,8 +60,6 @@
 		case <-t.C:
 		}
 		now := c.settings.Clock()
-		c.feed.SetMembers(c.voter.Members())
-		c.feed.Tick(now)
 		if now.Before(due) || c.feed.Version() == written && c.others.changes() == writtenOthers {
 			continue
 		}
