--- a/internal/upstream/view/view.go
+++ b/internal/upstream/view/view.go
@@ -93,8 +93,11 @@
 	for _, n := range notices {
 		t := told{Notice: n, at: now}
 		if n.Recalled {
-			// The voter forgets it without a word unless it hears it itself.
-			s.inherited = now.Add(v.settings.InheritFor)
+			// The voter forgets it without a word unless it hears it itself. All that
+			// one voter recalled lapses together, or the end of one would be missed.
+			if !s.inherited.After(now) {
+				s.inherited = now.Add(v.settings.InheritFor)
+			}
 			t.until = s.inherited
 		}
 		s.notices[n.Upstream.Incarnation] = t
--- a/internal/upstream/view/view_test.go
+++ b/internal/upstream/view/view_test.go
@@ -113,6 +113,26 @@
 	require.True(t, v.Targets(after(7))[0].Live)
 }
 
+// Symptom: the changes that a balancer was told left an upstream in its pool that had
+// lapsed.
+// Events: a voter tells of a recalled upstream, and of another a moment later.
+// Cause: what lapses was looked at only when the last of them did.
+func TestRecalledUpstreamsOfAVoterLapseTogether(t *testing.T) {
+	v := newView()
+	first, second := notice(1, upstream.Ready), notice(1, upstream.Ready)
+	first.Recalled, second.Recalled = true, true
+	second.Upstream.Incarnation++
+	v.Take(epoch, "v1", 1, []directory.Notice{first})
+	v.Changes(epoch)
+	v.Take(after(2), "v1", 1, []directory.Notice{second})
+	v.Changes(after(2))
+	c, changed := v.Changes(after(4))
+	require.True(t, changed)
+	require.Len(t, c.Targets, 2)
+	require.False(t, c.Targets[0].Live)
+	require.False(t, c.Targets[1].Live)
+}
+
 // whole says whether time alone changed what the view tells.
 func whole(v *view.View, now time.Time) bool {
 	c, _ := v.Changes(now)
