--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -27,6 +27,10 @@
 	forgetAfter = 30 * time.Second
 )
 
+// ContactLease is how long a voter's word on who is alive holds: two questions that
+// got no answer.
+const ContactLease = 2 * (hold + grace)
+
 // Listener takes what voters answer; calls come from several goroutines.
 type Listener interface {
 	// Held returns the configuration in force.
--- a/internal/daemon/control/others.go
+++ b/internal/daemon/control/others.go
@@ -6,15 +6,12 @@
 	"time"
 
 	"wasabideal/internal/control/feed"
+	"wasabideal/internal/cookie/follower"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/upstream/view"
 )
 
-// contactLease is how long another voter's word on who is alive holds: two of the
-// follower's questions that got no answer.
-const contactLease = 3 * time.Second
-
 // others is what the other voters tell of upstreams. It goes to the disk only:
 // balancers hear each voter themselves, but after a loss of power everywhere the
 // first voter to answer them has to know all upstreams.
@@ -27,7 +24,7 @@
 }
 
 func newOthers(clock func() time.Time) *others {
-	return &others{clock: clock, view: view.New(view.Settings{ContactLease: contactLease, ForgetAfter: forgetUpstream})}
+	return &others{clock: clock, view: view.New(view.Settings{ContactLease: follower.ContactLease, ForgetAfter: forgetUpstream})}
 }
 
 // Held names a configuration that none is newer than: voters agree on
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -35,9 +35,6 @@
 }
 
 const (
-	// contactLease is how long a voter's word on who is alive holds: two of the
-	// follower's questions that got no answer.
-	contactLease = 3 * time.Second
 	// inheritFor is three announcements' time, in which a voter that restarted
 	// hears all upstreams that are alive.
 	inheritFor = 4 * time.Second
@@ -111,7 +108,7 @@
 	b := &Balancer{
 		settings: s, log: log, socket: socket, counts: newCounts(),
 		early: waiting.New[earlyKey, earlyPacket](),
-		view:  view.New(view.Settings{ContactLease: contactLease, InheritFor: inheritFor, ForgetAfter: forgetAfter}),
+		view:  view.New(view.Settings{ContactLease: follower.ContactLease, InheritFor: inheritFor, ForgetAfter: forgetAfter}),
 	}
 	if uplink.Narrow(s.LinkBytesPerSecond) {
 		b.uploads = newUploads(s.LinkBytesPerSecond)
--- a/internal/log/story/causes.go
+++ b/internal/log/story/causes.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/samber/lo"
+
+	"wasabideal/internal/cookie/router"
+	"wasabideal/internal/model/upstream"
 )
 
 // causes says in sentences what the lines mean together.
@@ -22,27 +25,27 @@
 // meaning says what a decision on a packet means; see docs/OPERATIONS.md.
 func meaning(l line) string {
 	switch l.Reason {
-	case "Placed":
+	case router.Placed.String():
 		return "placed at upstream " + l.Incarnation
-	case "Repeated":
+	case router.Repeated.String():
 		return "a copy of the opening went to the same upstream " + l.Incarnation + ": the first was not answered in time"
-	case "NoRoute":
+	case router.NoRoute.String():
 		return fmt.Sprintf("reset: the configuration of revision %d has no such address", l.Revision)
-	case "NoUpstream":
+	case router.NoUpstream.String():
 		return fmt.Sprintf("no upstream of the service took flows under revision %d", l.Revision)
-	case "Busy":
+	case router.Busy.String():
 		return "reset: the VM's link had as many uploads as it carries; the caller may come back"
-	case "Waiting":
+	case router.Waiting.String():
 		return "kept for a moment: the VM's link had as many uploads as it carries"
-	case "Overloaded":
+	case router.Overloaded.String():
 		return "reset: the service answered later than the route's objective; the caller may come back"
-	case "Ended":
+	case router.Ended.String():
 		return "reset: the flow's upstream " + l.Incarnation + " is gone"
-	case "Unconfigured":
+	case router.Unconfigured.String():
 		return "not placed: the balancer had no configuration yet"
-	case "UnknownCookie":
+	case router.UnknownCookie.String():
 		return "not forwarded: the balancer did not know the flow's upstream yet"
-	case "Stray":
+	case router.Stray.String():
 		return "dropped: the packet belongs to no flow and asks for none"
 	default:
 		return l.Action + ": " + l.Reason
@@ -60,7 +63,7 @@
 
 // afterwards says what became of the upstream that a flow was sent to.
 func afterwards(shown []line, placed line) []string {
-	if placed.Incarnation == "" || placed.Reason == "Ended" {
+	if placed.Incarnation == "" || placed.Reason == router.Ended.String() {
 		return nil
 	}
 	for _, l := range shown {
@@ -71,7 +74,7 @@
 		case l.Message == messageSuspected:
 			return []string{fmt.Sprintf("%s at %s: the upstream left a packet unanswered; it fell silent before",
 				l.At.Format(timeFormat), l.Process)}
-		case l.Message == messageAnnounced && l.State != "Ready":
+		case l.Message == messageAnnounced && l.State != upstream.Ready.String():
 			return []string{fmt.Sprintf("%s at %s: the upstream said that it is %s", l.At.Format(timeFormat), l.Process, l.State)}
 		}
 	}
