--- a/internal/model/configuration/route.go
+++ b/internal/model/configuration/route.go
@@ -3,12 +3,17 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/samber/lo"
 )
 
 // Class says how a route's requests may be treated.
+//
+// Operators may name classes that this version does not know. Such a word is kept as
+// it is, so that the document reads back as it was sent, and its requests get the most
+// careful treatment: they run at most once, and none of their flows ends early.
 type Class string
 
 // The classes of requests.
@@ -19,8 +24,22 @@
 	Unrepeatable Class = "Unrepeatable"
 	// Upload requests carry large bodies and run at most once.
 	Upload Class = "Upload"
+	// Download requests have large answers and may be repeated after any failure.
+	Download Class = "Download"
 )
 
+// unknownPrefix sets the operators' own words apart from the classes above.
+const unknownPrefix = "Unknown:"
+
+// UnknownClass returns the class that stands for an operator's own word.
+func UnknownClass(word string) Class { return Class(unknownPrefix + word) }
+
+// UnknownWord returns the operator's own word for a class that is not known here.
+func (c Class) UnknownWord() (string, bool) { return strings.CutPrefix(string(c), unknownPrefix) }
+
+// Repeatable says that requests of the class may run more than once.
+func (c Class) Repeatable() bool { return c == Idempotent || c == Download }
+
 // Backend is one service of a split route and its share of new flows.
 type Backend struct {
 	_       struct{} `cbor:",toarray"`
