--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"wasabideal/internal/configuration/history"
+	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/wire/rpc"
@@ -63,6 +64,7 @@
 	life      uint64
 	clock     func() time.Time
 	history   history.History
+	services  map[string]bool
 	directory *directory.Directory
 	members   []string
 	changed   chan struct{}
@@ -91,10 +93,18 @@
 	defer f.mu.Unlock()
 	if h.Current().Revision > f.history.Current().Revision {
 		f.history = h
+		f.services = lo.SliceToMap(h.Current().Services, func(s configuration.Service) (string, bool) { return s.Name, true })
 		f.wake()
 	}
 }
 
+// Configured says that the configuration names a service, or that none is known yet.
+func (f *Feed) Configured(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.services == nil || f.services[service]
+}
+
 // SetMembers tells of the voters.
 func (f *Feed) SetMembers(addresses []string) {
 	f.mu.Lock()
--- a/internal/control/upstreams/upstreams.go
+++ b/internal/control/upstreams/upstreams.go
@@ -37,6 +37,14 @@
 	return "this voter holds no list of voters yet and cannot count a majority; announce the departure again or elsewhere"
 }
 
+// UnknownServiceError says that the configuration names no such service. One that was
+// written by mistake would take the address of an upstream that serves another one.
+type UnknownServiceError struct{ Service string }
+
+func (e *UnknownServiceError) Error() string {
+	return fmt.Sprintf("no configuration names the service %q; announce the upstream again once one does", e.Service)
+}
+
 // Settings of the announcements at one voter.
 type Settings struct {
 	Token string
@@ -85,9 +93,12 @@
 // this one knew and failed right after, balancers would go on sending new flows
 // to an upstream that was told that none would come.
 func (u *Upstreams) Announce(ctx context.Context, a upstream.Upstream, cold time.Duration) error {
+	if a.State != upstream.Withdrawn && !u.feed.Configured(a.Service) {
+		return &UnknownServiceError{Service: a.Service}
+	}
 	if u.feed.Announce(u.settings.Clock(), a, cold) {
 		u.log.Info("upstream announced", "Incarnation", fmt.Sprintf("%x", a.Incarnation), "Service", a.Service,
-			"Address", a.Address.String(), "State", a.State.String(), "Sequence", a.Sequence)
+			"Address", a.Address.String(), "State", a.State.String(), "Sequence", a.Sequence, "Born", a.Born)
 	}
 	if a.State == upstream.Ready {
 		return nil
--- a/internal/control/upstreams/upstreams_test.go
+++ b/internal/control/upstreams/upstreams_test.go
@@ -1,14 +1,17 @@
 package upstreams_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
+	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/control/upstreams"
+	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/standin/server"
 	"wasabideal/internal/upstream/directory"
@@ -111,3 +114,25 @@
 	require.ErrorAs(t, u.Announce(t.Context(), leaving(), 0), &unshared)
 	require.Equal(t, upstreams.UnsharedError{Holders: 1, Needed: 2}, *unshared)
 }
+
+// Symptom: an upstream that served was taken for replaced, again and again.
+// Events: another writer announces its address under a service that no configuration
+// names.
+// Cause: the address went to whoever was heard last.
+func TestUpstreamOfAnUnknownServiceTakesNoAddress(t *testing.T) {
+	v := voters(t, 1, 0)[0]
+	v.feed.Publish(history.History{}.With(configuration.Configuration{
+		Revision: 1, Services: []configuration.Service{{Name: "orders"}},
+	}))
+	serves := upstream.Upstream{
+		Identity: upstream.Identity{Service: "orders", Incarnation: 7, Address: netip.MustParseAddrPort("10.0.0.1:80")}, Sequence: 1,
+	}
+	require.NoError(t, v.upstreams.Announce(t.Context(), serves, 0))
+	other := serves
+	other.Service, other.Incarnation = "nobody", 8
+	var unknown *upstreams.UnknownServiceError
+	require.ErrorAs(t, v.upstreams.Announce(t.Context(), other, 0), &unknown)
+	notices, _ := v.feed.Notices(time.Now())
+	require.Len(t, notices, 1)
+	require.False(t, notices[0].Replaced)
+}
--- a/internal/control/voter/metrics.go
+++ b/internal/control/voter/metrics.go
@@ -15,6 +15,7 @@
 type counts struct {
 	registry                metrics.Registry
 	applied, failedWrites   metrics.Counter
+	refusedAnnouncements    metrics.Counter
 	accepting, syncing      latency.Latency
 	readsDone, readsRefused metrics.Counter
 }
@@ -22,13 +23,14 @@
 func newCounts() *counts {
 	r := metrics.NewRegistry()
 	return &counts{
-		registry:     r,
-		applied:      metrics.NewRegisteredCounter("ChangesAppliedTotal", r),
-		failedWrites: metrics.NewRegisteredCounter("DiskFailuresTotal", r),
-		readsDone:    metrics.NewRegisteredCounter("ReadsConfirmedTotal", r),
-		readsRefused: metrics.NewRegisteredCounter("ReadsRefusedTotal", r),
-		accepting:    latency.New("Accept", r),
-		syncing:      latency.New("DiskSync", r),
+		registry:             r,
+		applied:              metrics.NewRegisteredCounter("ChangesAppliedTotal", r),
+		failedWrites:         metrics.NewRegisteredCounter("DiskFailuresTotal", r),
+		refusedAnnouncements: metrics.NewRegisteredCounter("AnnouncementsRefusedTotal", r),
+		readsDone:            metrics.NewRegisteredCounter("ReadsConfirmedTotal", r),
+		readsRefused:         metrics.NewRegisteredCounter("ReadsRefusedTotal", r),
+		accepting:            latency.New("Accept", r),
+		syncing:              latency.New("DiskSync", r),
 	}
 }
 
@@ -51,3 +53,6 @@
 		v.log.Warn("metrics not written", "Error", err)
 	}
 }
+
+// AnnouncementRefused counts an announcement that names no upstream.
+func (v *Voter) AnnouncementRefused() { v.counts.refusedAnnouncements.Inc(1) }
--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -137,6 +137,7 @@
 		return
 	}
 	r.swept = now
+	r.forgetFormer(now)
 	for k, f := range r.flows {
 		switch {
 		case f.opening && now.Sub(f.sent) > openingFor, now.Sub(f.seen) > flowFor:
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -43,6 +43,8 @@
 	// urgent is the best priority among the routes to each service.
 	urgent map[string]int
 	swept  time.Time
+	// former are the earlier lives of upstreams that started again.
+	former []formerLife
 	// drawn is when the upstreams were first told.
 	drawn time.Time
 	// turn moves on with each choice, so that equal upstreams take turns.
@@ -114,7 +116,7 @@
 	for _, x := range c.Targets {
 		named[x.Incarnation] = true
 		services[x.Service] = true
-		r.put(x)
+		r.put(now, x, services)
 	}
 	for _, id := range c.Gone {
 		r.drop(id, services)
@@ -129,10 +131,15 @@
 	r.pool(services)
 }
 
-func (r *Router) put(x view.Target) {
+func (r *Router) put(now time.Time, x view.Target, services map[string]bool) {
 	t := r.targets[x.Incarnation]
+	if t != nil && t.Born != x.Born {
+		r.endLife(now, t)
+		services[t.Service] = true
+		t = nil
+	}
 	if t == nil {
-		t = &target{cookie: Cookie(x.Incarnation)}
+		t = &target{cookie: Cookie(x.Incarnation, x.Born)}
 		// Two upstreams with one cookie cannot be told apart: the later one takes
 		// no flow, so that no packet of the other's flows reaches it.
 		t.clash = r.cookies[t.cookie] != nil
@@ -146,6 +153,25 @@
 	}
 }
 
+// endLife notes that the life of an upstream is over, since it started again. Its flows
+// are reset as long as any may be open: the new life knows none of them, and their
+// callers would wait until they give up.
+func (r *Router) endLife(now time.Time, t *target) {
+	t.Ended = true
+	delete(r.targets, t.Incarnation)
+	if !t.clash {
+		r.former = append(r.former, formerLife{target: t, since: now})
+	}
+}
+
+// forgetFormer forgets the lives whose flows are all over.
+func (r *Router) forgetFormer(now time.Time) {
+	for len(r.former) > 0 && now.Sub(r.former[0].since) > formerFor {
+		delete(r.cookies, r.former[0].target.cookie)
+		r.former = r.former[1:]
+	}
+}
+
 func (r *Router) drop(id uint64, services map[string]bool) {
 	t := r.targets[id]
 	if t == nil {
--- a/internal/cookie/router/router_test.go
+++ b/internal/cookie/router/router_test.go
@@ -67,11 +67,11 @@
 		{"opening", opening(1), router.Forward, router.Placed, 1},
 		{"copy of it", opening(1), router.Forward, router.Repeated, 1},
 		{"no such route", router.Packet{Opening: true, Address: netip.MustParseAddrPort("198.18.0.9:1")}, router.Reset, router.NoRoute, 0},
-		{"open flow", router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(1)}, router.Forward, router.Known, 1},
-		{"flow seen first here", router.Packet{Caller: caller(7), Address: notes, Cookie: router.Cookie(2)}, router.Forward, router.Known, 2},
-		{"draining upstream's flow", router.Packet{Caller: caller(8), Address: orders, Cookie: router.Cookie(4)}, router.Forward, router.Known, 4},
-		{"ended upstream's flow", router.Packet{Caller: caller(9), Address: orders, Cookie: router.Cookie(3)}, router.Reset, router.Ended, 3},
-		{"reset to an ended upstream", router.Packet{Caller: caller(9), Cookie: router.Cookie(3), Reset: true}, router.Drop, router.Ended, 3},
+		{"open flow", router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(1, 0)}, router.Forward, router.Known, 1},
+		{"flow seen first here", router.Packet{Caller: caller(7), Address: notes, Cookie: router.Cookie(2, 0)}, router.Forward, router.Known, 2},
+		{"draining upstream's flow", router.Packet{Caller: caller(8), Address: orders, Cookie: router.Cookie(4, 0)}, router.Forward, router.Known, 4},
+		{"ended upstream's flow", router.Packet{Caller: caller(9), Address: orders, Cookie: router.Cookie(3, 0)}, router.Reset, router.Ended, 3},
+		{"reset to an ended upstream", router.Packet{Caller: caller(9), Cookie: router.Cookie(3, 0), Reset: true}, router.Drop, router.Ended, 3},
 		{"unknown cookie", router.Packet{Caller: caller(9), Address: orders, Cookie: 99}, router.Drop, router.UnknownCookie, 0},
 		{"neither opening nor open", router.Packet{Caller: caller(9), Address: orders}, router.Drop, router.Stray, 0},
 	} {
@@ -125,11 +125,11 @@
 func TestUpstreamWithAnothersCookieTakesNoFlow(t *testing.T) {
 	// The fold is linear: this incarnation has the cookie of 1.
 	const twin = uint64(1)<<32 | (1 ^ 0x9e3779b1)
-	require.Equal(t, router.Cookie(1), router.Cookie(twin))
+	require.Equal(t, router.Cookie(1, 0), router.Cookie(twin, 0))
 	r := newRouter(t, target(1, "orders", "a"))
 	younger := target(twin, "notes", "a")
 	r.SetTargets(epoch, []view.Target{target(1, "orders", "a"), younger})
-	require.Equal(t, uint64(1), r.Route(epoch, router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(1)}).Incarnation)
+	require.Equal(t, uint64(1), r.Route(epoch, router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(1, 0)}).Incarnation)
 	v := r.Route(epoch, router.Packet{Caller: caller(2), Address: notes, Opening: true})
 	require.Equal(t, router.NoUpstream, v.Reason)
 }
@@ -159,7 +159,7 @@
 		require.NotEqual(t, first, r.Route(later, opening(10+n)).Incarnation)
 	}
 	// The first upstream was only slow: its flow opens after all.
-	r.Route(later, router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(first), Sequence: 1, Acknowledged: 1})
+	r.Route(later, router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(first, 0), Sequence: 1, Acknowledged: 1})
 	counts := map[uint64]int{}
 	for n := range 20 {
 		counts[r.Route(later, opening(50+n)).Incarnation]++
@@ -169,8 +169,8 @@
 
 func TestRepeatedRequestRaisesSuspicion(t *testing.T) {
 	r := newRouter(t, target(1, "orders", "a"), target(2, "orders", "a"))
-	request := router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(1), Sequence: 100, Acknowledged: 50, Length: 300}
-	r.Route(epoch, router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(1), Sequence: 100, Acknowledged: 50})
+	request := router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(1, 0), Sequence: 100, Acknowledged: 50, Length: 300}
+	r.Route(epoch, router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(1, 0), Sequence: 100, Acknowledged: 50})
 	r.Route(epoch, request)
 	later := epoch.Add(200 * time.Millisecond)
 	r.Route(later, request)
@@ -196,7 +196,7 @@
 // Cause: each upstream was suspected by itself.
 func TestZoneThatIsCutOffIsSuspectedAsAWhole(t *testing.T) {
 	r := newRouter(t, target(1, "orders", "a"), target(2, "orders", "b"), target(3, "orders", "b"), target(4, "orders", "c"))
-	far := router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(2), Sequence: 100, Acknowledged: 50}
+	far := router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(2, 0), Sequence: 100, Acknowledged: 50}
 	r.Route(epoch, far)
 	far.Length = 300
 	r.Route(epoch, far)
@@ -206,7 +206,7 @@
 		v := r.Route(later, opening(10+n))
 		require.NotContains(t, []uint64{2, 3}, v.Incarnation)
 	}
-	alive := router.Packet{Caller: caller(2), Address: orders, Cookie: router.Cookie(3), Sequence: 1, Acknowledged: 1}
+	alive := router.Packet{Caller: caller(2), Address: orders, Cookie: router.Cookie(3, 0), Sequence: 1, Acknowledged: 1}
 	r.Route(later, alive)
 	alive.Acknowledged = 100
 	r.Route(later, alive)
@@ -290,3 +290,29 @@
 		r.Tick(now)
 	}
 }
+
+// Symptom: callers of an upstream that had crashed and was back waited until their
+// deadlines, or their packets reached an upstream that did not know their flows.
+// Events: it starts again as the incarnation that it was.
+// Cause: the flows of both lives had one cookie.
+func TestFlowsOfAnEarlierLifeAreReset(t *testing.T) {
+	before := target(1, "orders", "a")
+	before.Born = 100
+	again := before
+	again.Born, again.Sequence = 200, 1
+	r := newRouter(t, before)
+	old := r.Route(epoch, opening(1)).Cookie
+	r.SetTargets(epoch, []view.Target{again})
+	v := r.Route(epoch, router.Packet{Caller: caller(1), Address: orders, Cookie: old, Length: 9})
+	require.Equal(t, router.Reset, v.Action)
+	require.Equal(t, router.Ended, v.Reason)
+	copied := r.Route(epoch, opening(1))
+	require.Equal(t, router.Placed, copied.Reason, "a copy of an opening goes to the life that is")
+	require.NotEqual(t, old, copied.Cookie)
+	v = r.Route(epoch, router.Packet{Caller: caller(1), Address: orders, Cookie: copied.Cookie, Length: 9})
+	require.Equal(t, router.Forward, v.Action)
+	later := epoch.Add(5 * time.Minute)
+	r.Tick(later)
+	v = r.Route(later, router.Packet{Caller: caller(1), Address: orders, Cookie: old, Length: 9})
+	require.Equal(t, router.UnknownCookie, v.Reason, "no flow is that old")
+}
--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -17,6 +17,9 @@
 	// answerTime is how long an upstream may take before silence counts: twice
 	// a round trip to the farthest zone, and the work of a heavy request.
 	answerTime = 180 * time.Millisecond
+	// formerFor is how long the flows of an upstream's earlier life are reset: longer
+	// than any flow may stay open.
+	formerFor = 90 * time.Second
 )
 
 // target is an upstream with what its packets tell of it.
@@ -35,16 +38,23 @@
 	suspicion
 }
 
-// Cookie folds an incarnation into the word that the ends of a flow return; it
-// is never 0, which stands for none.
-func Cookie(incarnation uint64) uint32 {
-	c := uint32(incarnation) ^ uint32(incarnation>>32)*0x9e3779b1
+// Cookie folds an incarnation and its start into the word that the ends of a flow
+// return; it is never 0, which stands for none. An upstream that starts again has
+// another one, so that the flows of its earlier life are known to be over.
+func Cookie(incarnation, born uint64) uint32 {
+	c := uint32(incarnation) ^ uint32(incarnation>>32)*0x9e3779b1 ^ uint32(born)*0x85ebca6b ^ uint32(born>>32)*0xc2b2ae35
 	if c == 0 {
 		return 1
 	}
 	return c
 }
 
+// formerLife is an upstream's life that is over, with when that was learnt.
+type formerLife struct {
+	target *target
+	since  time.Time
+}
+
 // suspicion is what missing answers say of an upstream, or of a whole zone.
 type suspicion struct {
 	// alive is the last sign of life.
--- a/internal/daemon/cookie/cookie_test.go
+++ b/internal/daemon/cookie/cookie_test.go
@@ -177,7 +177,7 @@
 	}()
 	require.Eventually(t, func() bool { return !b.Ready() }, 20*time.Second, time.Millisecond)
 	for range 10 {
-		send(t, caller, b, router.Packet{Cookie: router.Cookie(77), Acknowledged: 1})
+		send(t, caller, b, router.Packet{Cookie: router.Cookie(77, 0), Acknowledged: 1})
 		_, ok := receive(backend, 20*time.Second)
 		require.True(t, ok)
 		time.Sleep(100 * time.Millisecond)
@@ -222,7 +222,7 @@
 			require.True(t, ok)
 		}
 		open(third)
-		send(t, first, b, router.Packet{Address: notes, Cookie: router.Cookie(77), Finish: true})
+		send(t, first, b, router.Packet{Address: notes, Cookie: router.Cookie(77, 0), Finish: true})
 		_, finish := receive(backend, 20*time.Second)
 		_, placed := receive(backend, time.Second)
 		return finish && placed
--- /dev/null
+++ b/internal/log/pace/doc.go
@@ -0,0 +1,2 @@
+// Package pace bounds how many log lines of one kind a process writes in a second.
+package pace
--- /dev/null
+++ b/internal/log/pace/pace_test.go
@@ -0,0 +1,25 @@
+package pace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/log/pace"
+)
+
+func TestLinesBeyondThePaceAreCounted(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	p := pace.New(2)
+	for i, allowed := range []bool{true, true, false, false} {
+		_, ok := p.Take(now.Add(time.Duration(i) * 100 * time.Millisecond))
+		require.Equal(t, allowed, ok)
+	}
+	passed, ok := p.Take(now.Add(time.Second))
+	require.True(t, ok)
+	require.Equal(t, 2, passed)
+	passed, ok = p.Take(now.Add(time.Second))
+	require.True(t, ok)
+	require.Zero(t, passed)
+}
--- a/internal/model/upstream/upstream.go
+++ b/internal/model/upstream/upstream.go
@@ -35,7 +35,7 @@
 	Incarnation uint64
 }
 
-// Upstream is one announcement of a back end, ordered by incarnation and sequence.
+// Upstream is one announcement of a back end, ordered by incarnation, start and sequence.
 type Upstream struct {
 	_ struct{} `cbor:",toarray"`
 	Identity
@@ -44,6 +44,10 @@
 	Slots    uint16
 	Sequence uint64
 	State    State
+	// Born is when this life began, in milliseconds since 1970 by the upstream's own
+	// clock; 0 where it does not say. An upstream may start again as the incarnation
+	// that it was: it knows nothing of before then, and its sequence starts anew.
+	Born uint64 `json:",omitzero"`
 }
 
 // WithState returns the upstream in another state, one sequence later.
@@ -58,6 +62,15 @@
 	if u.Incarnation != o.Incarnation {
 		return u.Incarnation > o.Incarnation
 	}
+	return u.Later(o)
+}
+
+// Later says whether u was announced after o, both of one incarnation. The state decides
+// between equal sequences, so that the order in which the words arrive does not.
+func (u Upstream) Later(o Upstream) bool {
+	if u.Born != o.Born {
+		return u.Born > o.Born
+	}
 	if u.Sequence != o.Sequence {
 		return u.Sequence > o.Sequence
 	}
--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -25,9 +25,11 @@
 	// Faults of disks have a generator of their own, so that the others of a seed
 	// that once failed stay the same.
 	disks := rand.New(rand.NewPCG(r.settings.Seed, 2))
+	lives := rand.New(rand.NewPCG(r.settings.Seed, 3))
 	for end := time.Now().Add(r.settings.For); time.Now().Before(end) && ctx.Err() == nil; {
 		r.fault(random)
 		r.diskFault(disks)
+		r.restartUpstream(lives)
 		time.Sleep(time.Duration(random.Int64N(int64(gapMost))))
 		r.checkExits()
 	}
@@ -199,6 +201,21 @@
 	})
 }
 
+// restartShare is how many faults there are for one upstream that starts again.
+const restartShare = 4
+
+// restartUpstream lets an upstream crash and start again as the incarnation that it was.
+func (r *Run) restartUpstream(random *rand.Rand) {
+	r.mu.Lock()
+	b := r.backends[random.IntN(len(r.backends))]
+	r.mu.Unlock()
+	if random.IntN(restartShare) != 0 || r.isGone(b.self.Incarnation) {
+		return
+	}
+	r.noteFault()
+	b.restart()
+}
+
 func (r *Run) checkExits() {
 	for _, p := range r.processes {
 		if err := p.Check(); err != nil {
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"wasabideal/internal/cookie/router"
 	"wasabideal/internal/soak/fleet"
 	"wasabideal/internal/soak/proxy"
 )
@@ -280,7 +279,7 @@
 	r.mu.Lock()
 	alive := false
 	for _, b := range r.backends {
-		alive = alive || router.Cookie(b.self.Incarnation) == cookie && !r.gone[b.self.Incarnation]
+		alive = alive || b.cookie() == cookie && !r.gone[b.self.Incarnation]
 	}
 	r.mu.Unlock()
 	if alive {
--- a/internal/soak/run/upstreams.go
+++ b/internal/soak/run/upstreams.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"wasabideal/internal/cookie/router"
 	"wasabideal/internal/model/upstream"
 )
 
@@ -50,7 +51,7 @@
 	b := &backend{run: r, conn: conn, flows: map[netip.AddrPort]*backendFlow{}, done: make(chan struct{})}
 	b.self = upstream.Upstream{
 		Identity: upstream.Identity{Service: service, Address: a, Incarnation: rand.Uint64() >> 24},
-		Zone:     zone, Slots: 2, State: upstream.Ready,
+		Zone:     zone, Slots: 2, State: upstream.Ready, Born: uint64(time.Now().UnixMilli()),
 	}
 	r.goRun(b.serve)
 	r.goRun(b.announce)
@@ -95,6 +96,19 @@
 	b.self.State = upstream.Draining
 }
 
+// restart forgets all flows and announcements, as a crash does. One that leaves goes on
+// to leave.
+func (b *backend) restart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.self.State != upstream.Ready {
+		return
+	}
+	clear(b.flows)
+	b.self.Sequence = 0
+	b.self.Born = uint64(max(time.Now().UnixMilli(), int64(b.self.Born)+1))
+}
+
 func (b *backend) serve() {
 	buffer := make([]byte, 2048)
 	for {
@@ -163,3 +177,10 @@
 	// A caller that is gone does not matter here.
 	_, _ = b.conn.WriteToUDPAddrPort(b.run.settings.World.Encode(s), to)
 }
+
+// cookie is what the callers of the present life's flows return.
+func (b *backend) cookie() uint32 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return router.Cookie(b.self.Incarnation, b.self.Born)
+}
--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -68,17 +68,20 @@
 // whether it is newer than what was known; late and repeated ones are not.
 func (d *Directory) Announce(now time.Time, u upstream.Upstream, cold time.Duration) (news, newer bool) {
 	old := d.entries[u.Incarnation]
-	if old != nil && (old.State == upstream.Withdrawn || u.State != upstream.Withdrawn && u.Sequence <= old.Sequence) {
-		return false, false
-	}
-	if old != nil && u.State == upstream.Withdrawn {
+	if old != nil && u.State == upstream.Withdrawn && (u.Born == 0 || u.Born >= old.Born) {
 		// A departure may come without a description of the upstream.
+		born := max(u.Born, old.Born)
 		u = old.WithState(upstream.Withdrawn)
+		u.Born = born
 	}
+	if old != nil && !follows(u, old.Upstream) {
+		return false, false
+	}
+	d.leaveAddress(u, old)
 	e := &entry{Upstream: u, coldUntil: now.Add(cold), heard: now}
 	d.entries[u.Incarnation] = e
 	news = old == nil || old.silent || old.replaced || old.recalled || !sameBut(old.Upstream, u)
-	if u.State == upstream.Ready && d.late(now, old) {
+	if u.State == upstream.Ready && d.late(now, u, old) {
 		e.replaced, e.returned, e.changed = true, true, old.changed
 		return false, true
 	}
@@ -97,14 +100,25 @@
 // thousands its silence would be news for each of them to every balancer from each
 // voter, seconds after a loss of power everywhere.
 func (d *Directory) Recall(now time.Time, u upstream.Upstream, cold time.Duration) {
-	if d.entries[u.Incarnation] != nil {
+	if old := d.entries[u.Incarnation]; old != nil && u.Born <= old.Born {
 		return
 	}
+	d.leaveAddress(u, d.entries[u.Incarnation])
 	e := &entry{Upstream: u, coldUntil: now.Add(cold), heard: now, recalled: true}
 	d.entries[u.Incarnation] = e
 	d.tell(e)
 }
 
+// follows says that an announcement is later than what was heard of the upstream. A life
+// that was withdrawn stays so, or a delayed announcement would revive it; a later start
+// of the same incarnation is another life, whatever its sequence.
+func follows(u, heard upstream.Upstream) bool {
+	if u.Born != heard.Born {
+		return u.Born > heard.Born
+	}
+	return heard.State != upstream.Withdrawn && (u.State == upstream.Withdrawn || u.Sequence > heard.Sequence)
+}
+
 // sameBut says that two announcements differ in their sequence only.
 func sameBut(a, b upstream.Upstream) bool {
 	a.Sequence = b.Sequence
@@ -116,14 +130,22 @@
 // not since. A delayed one would take the address from an upstream that serves until
 // that announces itself again, and new flows would be sent to one that is gone. A
 // second announcement shows that it lives.
-func (d *Directory) late(now time.Time, old *entry) bool {
-	if old == nil || !old.replaced || old.returned {
+func (d *Directory) late(now time.Time, u upstream.Upstream, old *entry) bool {
+	if old == nil || !old.replaced || old.returned || u.Born != old.Born {
 		return false
 	}
 	holder := d.entries[d.holders[old.Address]]
 	return holder != nil && holder.State != upstream.Withdrawn && now.Sub(holder.heard) <= d.settings.SilentAfter
 }
 
+// leaveAddress takes the address that an upstream had before from it. Another one that
+// starts there later would otherwise count as its successor, and this one as replaced.
+func (d *Directory) leaveAddress(u upstream.Upstream, old *entry) {
+	if old != nil && old.Address != u.Address && d.holders[old.Address] == u.Incarnation {
+		delete(d.holders, old.Address)
+	}
+}
+
 // hold makes the upstream the holder of its address, and says whether another was.
 func (d *Directory) hold(u upstream.Upstream) bool {
 	if u.State == upstream.Withdrawn || !u.Address.IsValid() {
--- a/internal/upstream/directory/directory_test.go
+++ b/internal/upstream/directory/directory_test.go
@@ -140,3 +140,67 @@
 	d.Recall(epoch.Add(time.Second), announced(1, 7, upstream.Ready), 0)
 	require.False(t, d.Since(epoch, 0)[0].Recalled, "what is heard here is not recalled")
 }
+
+// life is an announcement of an upstream that says when it started.
+func life(born, sequence uint64, s upstream.State) upstream.Upstream {
+	u := announced(1, sequence, s)
+	u.Born = born
+	return u
+}
+
+// Symptom: an upstream got no flow for minutes after it had started again.
+// Events: it crashes, or leaves, and starts again as the incarnation that it was; its
+// sequence starts anew.
+// Cause: its announcements counted as late ones of its life before.
+func TestUpstreamThatStartsAgainIsHeardAtOnce(t *testing.T) {
+	for _, before := range []upstream.State{upstream.Ready, upstream.Draining, upstream.Withdrawn} {
+		d := newDirectory()
+		d.Announce(epoch, life(100, 50, upstream.Ready), 0)
+		d.Announce(epoch, life(100, 51, before), 0)
+		news, newer := d.Announce(epoch.Add(time.Second), life(200, 1, upstream.Ready), 0)
+		require.True(t, news)
+		require.True(t, newer)
+		n := d.Since(epoch, 0)[0]
+		require.Equal(t, life(200, 1, upstream.Ready), n.Upstream)
+		require.False(t, n.Silent || n.Replaced)
+	}
+}
+
+// Symptom: an upstream that had just started lost its flows, or got none.
+// Events: announcements of its life before arrive late: that it is ready, drains or left.
+// Cause: what the earlier life said counted for the one that serves.
+func TestDelayedWordsOfAnEarlierLifeChangeNothing(t *testing.T) {
+	for _, s := range []upstream.State{upstream.Ready, upstream.Draining, upstream.Withdrawn} {
+		d := newDirectory()
+		d.Announce(epoch, life(200, 1, upstream.Ready), 0)
+		news, newer := d.Announce(epoch.Add(time.Second), life(100, 90, s), 0)
+		require.False(t, news)
+		require.False(t, newer)
+		d.Recall(epoch, life(100, 95, s), 0)
+		require.Equal(t, life(200, 1, upstream.Ready), d.Since(epoch, 0)[0].Upstream)
+	}
+}
+
+func TestDepartureWithoutAStartEndsTheLifeThatIsHeard(t *testing.T) {
+	d := newDirectory()
+	d.Announce(epoch, life(200, 1, upstream.Ready), 0)
+	gone := upstream.Upstream{Identity: upstream.Identity{Incarnation: 1}, State: upstream.Withdrawn}
+	_, newer := d.Announce(epoch, gone, 0)
+	require.True(t, newer)
+	require.Equal(t, uint64(200), d.Since(epoch, 0)[0].Upstream.Born)
+	_, newer = d.Announce(epoch, life(200, 9, upstream.Ready), 0)
+	require.False(t, newer, "a delayed announcement revives no life")
+}
+
+// Symptom: an upstream counted as replaced though no other had its address.
+// Events: it starts again at another address, and another upstream at its former one.
+// Cause: the former address still counted as its own.
+func TestUpstreamThatMovedIsNotReplacedAtItsFormerAddress(t *testing.T) {
+	d := newDirectory()
+	d.Announce(epoch, life(100, 1, upstream.Ready), 0)
+	moved := life(200, 1, upstream.Ready)
+	moved.Address = netip.MustParseAddrPort("10.0.0.2:80")
+	d.Announce(epoch, moved, 0)
+	d.Announce(epoch, announced(2, 1, upstream.Ready), 0)
+	require.Equal(t, []bool{false, false}, replaced(d))
+}
--- a/internal/upstream/directory/doc.go
+++ b/internal/upstream/directory/doc.go
@@ -2,5 +2,6 @@
 //
 // Incarnations have no order of their own here: the one that was heard last
 // holds an address. A withdrawn incarnation stays withdrawn, so that a delayed
-// announcement cannot revive it.
+// announcement cannot revive it, until it starts again; a later start goes before
+// everything that was heard of earlier ones.
 package directory
--- a/internal/upstream/view/view.go
+++ b/internal/upstream/view/view.go
@@ -53,8 +53,11 @@
 	sources  map[string]*source
 	// drawn is what Changes last rested on beside the notices, changed are the
 	// upstreams of which something was told since.
-	drawn    standing
-	changed  map[uint64]bool
+	drawn   standing
+	changed map[uint64]bool
+	// born is the latest start that any voter told of an incarnation. A voter that
+	// missed it may tell of the life before for a while, and must not undo it.
+	born     map[uint64]uint64
 	whole    bool
 	forgotAt time.Time
 }
@@ -68,7 +71,7 @@
 
 // New returns an empty view.
 func New(s Settings) *View {
-	return &View{settings: s, sources: map[string]*source{}, changed: map[uint64]bool{}, whole: true}
+	return &View{settings: s, sources: map[string]*source{}, changed: map[uint64]bool{}, born: map[uint64]uint64{}, whole: true}
 }
 
 // Take notes a voter's answer; life tells its restarts apart. A voter that
@@ -100,8 +103,12 @@
 			}
 			t.until = s.inherited
 		}
-		s.notices[n.Upstream.Incarnation] = t
-		v.changed[n.Upstream.Incarnation] = true
+		id := n.Upstream.Incarnation
+		s.notices[id] = t
+		v.changed[id] = true
+		if n.Upstream.Born > v.born[id] {
+			v.born[id] = n.Upstream.Born
+		}
 	}
 	v.forget(now)
 }
@@ -120,6 +127,21 @@
 			}
 		}
 	}
+	for id := range v.born {
+		if !v.mentioned(id) {
+			delete(v.born, id)
+		}
+	}
+}
+
+// mentioned says that some voter tells of an incarnation.
+func (v *View) mentioned(id uint64) bool {
+	for _, s := range v.sources {
+		if _, ok := s.notices[id]; ok {
+			return true
+		}
+	}
+	return false
 }
 
 func (t told) gone() bool {
@@ -172,7 +194,7 @@
 	anyFresh := v.drawn.fresh > 0
 	for _, s := range v.sources {
 		t, ok := s.notices[id]
-		if !ok {
+		if !ok || t.Upstream.Born < v.born[id] {
 			continue
 		}
 		if j == nil {
@@ -224,7 +246,9 @@
 	}
 	out := make([]Target, 0, len(known))
 	for id := range known {
-		out = append(out, v.join(now, id).target())
+		if j := v.join(now, id); j != nil {
+			out = append(out, j.target())
+		}
 	}
 	slices.SortFunc(out, byIncarnation)
 	return out
@@ -236,7 +260,7 @@
 
 func (j *joined) add(now time.Time, t told, fresh bool) {
 	withdrawn := t.Upstream.State == upstream.Withdrawn
-	if !j.ended && (j.best.at.IsZero() || withdrawn || later(t.Upstream, j.best.Upstream)) {
+	if !j.ended && (j.best.at.IsZero() || withdrawn || t.Upstream.Later(j.best.Upstream)) {
 		j.best = t
 	}
 	j.ended = j.ended || withdrawn
@@ -246,15 +270,6 @@
 	j.live = j.live || heard && !t.Replaced && fresh
 }
 
-// later orders two words on one incarnation; the state decides between equal
-// sequences, so that the voters' order does not.
-func later(a, b upstream.Upstream) bool {
-	if a.Sequence != b.Sequence {
-		return a.Sequence > b.Sequence
-	}
-	return a.State > b.State
-}
-
 func (j *joined) target() Target {
 	return Target{
 		Upstream: j.best.Upstream, ColdUntil: j.best.at.Add(j.best.Cold), Live: j.live && !j.ended,
--- a/internal/upstream/view/view_test.go
+++ b/internal/upstream/view/view_test.go
@@ -192,6 +192,7 @@
 				n := notice(rapid.Uint64Range(1, 20).Draw(t, "sequence"), upstream.State(rapid.IntRange(0, 2).Draw(t, "state")))
 				n.Upstream.Incarnation = rapid.Uint64Range(1, 6).Draw(t, "incarnation")
 				n.Upstream.Service = []string{"orders", "notes"}[n.Upstream.Incarnation%2]
+				n.Upstream.Born = rapid.Uint64Range(0, 2).Draw(t, "born")
 				n.Silent = rapid.Bool().Draw(t, "silent")
 				n.Replaced = rapid.IntRange(0, 4).Draw(t, "replaced") == 0
 				n.Recalled = rapid.IntRange(0, 4).Draw(t, "recalled") == 0
@@ -210,3 +211,43 @@
 		}
 	})
 }
+
+// Symptom: an upstream that had started again got no flow, or its flows were reset.
+// Events: one voter heard its new life; others still tell of the life before, as ready,
+// silent, replaced or withdrawn, before and after the balancer hears of the new one.
+// Cause: words of two lives were joined as if they were one.
+func TestWordsOfAnEarlierLifeDoNotCount(t *testing.T) {
+	before := notice(90, upstream.Withdrawn)
+	before.Upstream.Born, before.Replaced, before.Silent = 100, true, true
+	again := notice(1, upstream.Ready)
+	again.Upstream.Born = 200
+	for _, order := range [][]directory.Notice{{before, again}, {again, before}} {
+		v := newView()
+		v.Take(epoch, "v1", 1, order[:1])
+		v.Take(after(1), "v2", 1, order[1:])
+		targets := v.Targets(after(1))
+		require.Len(t, targets, 1)
+		require.Equal(t, uint64(200), targets[0].Born)
+		require.True(t, targets[0].Live)
+		require.False(t, targets[0].Ended)
+	}
+}
+
+// The voter that heard the new life restarts and has not heard it again: the life
+// before, of which another voter tells, is over all the same.
+func TestEarlierLifeStaysOver(t *testing.T) {
+	v := newView()
+	before := notice(90, upstream.Ready)
+	before.Upstream.Born = 100
+	again := notice(1, upstream.Ready)
+	again.Upstream.Born = 200
+	v.Take(epoch, "v1", 1, []directory.Notice{again})
+	v.Take(epoch, "v2", 1, []directory.Notice{before})
+	v.Take(after(1), "v1", 2, nil)
+	v.Take(after(10), "v2", 1, nil)
+	v.Take(after(10), "v1", 2, nil)
+	for _, x := range v.Targets(after(10)) {
+		require.Equal(t, uint64(200), x.Born)
+		require.False(t, x.Live)
+	}
+}
