--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -10,6 +10,8 @@
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/silence/accrual"
+	"wasabideal/internal/silence/word"
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/wire/rpc"
 )
@@ -44,6 +46,10 @@
 	Recalled bool
 	// Hold is how long the answer may wait for news.
 	Hold time.Duration
+	// From names the balancer that asks, empty for voters.
+	From string
+	// Doubts is the version of the doubts that the balancer heard last.
+	Doubts uint64
 }
 
 // Answer brings a balancer up to date.
@@ -56,6 +62,10 @@
 	Notices []directory.Notice
 	// Members are the call addresses of all voters that this one knows.
 	Members []string
+	// Doubts are the upstreams that leave packets unanswered, all of them, and
+	// DoubtsVersion rises with changes.
+	Doubts        []word.Doubt
+	DoubtsVersion uint64
 }
 
 // Feed is what one voter tells balancers; it is safe for concurrent use.
@@ -72,11 +82,19 @@
 	// still have to be.
 	told    time.Time
 	pending bool
+	// silence is the evidence of upstreams that leave packets unanswered; weighing is
+	// set while a timer will look at it again.
+	silence  *accrual.Accrual
+	weighing bool
+	// asked is when each balancer last asked for news.
+	asked map[string]time.Time
 }
 
 // New returns an empty feed; life must differ from that of earlier processes.
 func New(life uint64, d *directory.Directory, clock func() time.Time) *Feed {
-	return &Feed{life: life, clock: clock, directory: d, changed: make(chan struct{})}
+	return &Feed{
+		life: life, clock: clock, directory: d, changed: make(chan struct{}), silence: accrual.New(), asked: map[string]time.Time{},
+	}
 }
 
 // Serve adds the feed's method to a server.
@@ -85,6 +103,7 @@
 	rpc.Handle(r, ConfigurationMethod, token, func(_ context.Context, revision uint64) (history.Answer, error) {
 		return f.Configuration(revision), nil
 	})
+	f.serveReports(r, token)
 }
 
 // Publish tells of a configuration; one that is not newer is ignored.
@@ -113,16 +132,16 @@
 }
 
 // Announce notes an upstream's announcement, and reports whether it is news to
-// others.
-func (f *Feed) Announce(now time.Time, u upstream.Upstream, cold time.Duration) bool {
+// others, and whether it answers a doubt.
+func (f *Feed) Announce(now time.Time, u upstream.Upstream, cold time.Duration) (news, answers bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	news, _ := f.directory.Announce(now, u, cold)
+	news, newer := f.directory.Announce(now, u, cold)
 	if news {
 		f.pending = true
 		f.tell(now)
 	}
-	return news
+	return news, newer && u.State != upstream.Withdrawn && f.heard(now, u)
 }
 
 // Recall takes an upstream that another voter heard before this one restarted.
@@ -148,6 +167,7 @@
 	defer f.mu.Unlock()
 	f.pending = f.directory.Tick(now) || f.pending
 	f.tell(now)
+	f.weigh(now)
 }
 
 // Version rises with the news of upstreams.
@@ -209,11 +229,15 @@
 	a := Answer{
 		Revision: f.history.Current().Revision, Life: f.life, Version: f.directory.Version(),
 		Notices: f.directory.Since(f.clock(), version), Members: f.members,
+		Doubts: f.silence.Doubts(f.clock()), DoubtsVersion: f.silence.Version(),
+	}
+	if q.From != "" {
+		f.asked[q.From] = f.clock()
 	}
 	if !q.Recalled {
 		a.Notices = lo.Reject(a.Notices, func(n directory.Notice, _ int) bool { return n.Recalled })
 	}
 	// What is still being gathered goes along with other news, and alone later.
-	news := q.Life != f.life || a.Revision > q.Revision || a.Version > version && !f.pending
+	news := q.Life != f.life || a.Revision > q.Revision || a.Version > version && !f.pending || a.DoubtsVersion != q.Doubts
 	return a, news, f.changed
 }
--- a/internal/control/feed/feed_test.go
+++ b/internal/control/feed/feed_test.go
@@ -11,6 +11,7 @@
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/silence/word"
 	"wasabideal/internal/upstream/directory"
 )
 
@@ -75,3 +76,32 @@
 	require.Len(t, f.Since(t.Context(), feed.Question{}).Notices, 1)
 	require.Len(t, f.Since(t.Context(), feed.Question{Recalled: true}).Notices, 2)
 }
+
+// Symptom: each balancer found out by itself that an upstream had lost power.
+// Events: two balancers leave reports of packets without an answer; a third waits for
+// news.
+// Cause: nothing passed on what balancers saw.
+func TestSilenceIsToldToAllBalancers(t *testing.T) {
+	f := newFeed()
+	answers := make(chan feed.Answer)
+	ask := func(version uint64) {
+		a := f.Since(context.Background(), feed.Question{Life: 1, From: "b3", Doubts: version, Hold: time.Hour})
+		answers <- a
+	}
+	go ask(0)
+	u := announced(1)
+	missed := word.Event{Incarnation: 1, Age: 200 * time.Millisecond, Weight: 5}
+	f.Report(epoch, word.Report{From: "b1", Events: []word.Event{missed, missed}})
+	first := <-answers
+	require.Equal(t, word.Subject{Incarnation: 1}, first.Doubts[0].Subject)
+	require.False(t, first.Doubts[0].Unresponsive)
+	go ask(first.DoubtsVersion)
+	f.Report(epoch, word.Report{From: "b2", Events: []word.Event{missed}})
+	f.Tick(epoch.Add(100 * time.Millisecond))
+	second := <-answers
+	require.True(t, second.Doubts[0].Unresponsive)
+	go ask(second.DoubtsVersion)
+	_, answered := f.Announce(epoch.Add(200*time.Millisecond), u, 0)
+	require.True(t, answered, "an announcement is a sign of life that other voters do not hear")
+	require.Empty(t, (<-answers).Doubts)
+}
--- /dev/null
+++ b/internal/control/feed/silence.go
@@ -0,0 +1,83 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/silence/word"
+	"wasabideal/internal/wire/rpc"
+)
+
+// ReportMethod is the call by which balancers tell of upstreams that leave packets
+// unanswered, and balancers and voters of signs of life.
+const ReportMethod = "Feed.Report"
+
+// balancerFor is how long a balancer counts as one that listens here, after its last
+// question: longer than one question waits.
+const balancerFor = 2 * time.Second
+
+type empty struct{}
+
+func (f *Feed) serveReports(r *rpc.Server, token string) {
+	rpc.Handle(r, ReportMethod, token, func(_ context.Context, report word.Report) (empty, error) {
+		f.Report(f.clock(), report)
+		return empty{}, nil
+	})
+}
+
+// Report takes what a balancer saw, or a sign of life that a voter heard.
+func (f *Feed) Report(now time.Time, r word.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range r.Events {
+		f.silence.Note(now, r.From, e)
+	}
+	f.weigh(now)
+}
+
+// heard ends doubts in an upstream that announces itself, and says whether there were any.
+func (f *Feed) heard(now time.Time, u upstream.Upstream) bool {
+	e := Heard(u)
+	if !f.silence.Questioned(e) {
+		return false
+	}
+	f.silence.Note(now, "", e)
+	f.weigh(now)
+	return true
+}
+
+// Heard is the sign of life that an announcement is.
+func Heard(u upstream.Upstream) word.Event {
+	return word.Event{Incarnation: u.Incarnation, Born: u.Born, Zone: u.Zone, Answered: true}
+}
+
+// weigh decides on the evidence and tells balancers at once what changed: each tenth of
+// a second costs the requests that are sent on flows of a silent upstream meanwhile.
+func (f *Feed) weigh(now time.Time) {
+	before := f.silence.Version()
+	next := f.silence.Decide(now, f.balancers(now))
+	if f.silence.Version() != before {
+		f.wake()
+	}
+	if next.IsZero() || f.weighing {
+		return
+	}
+	f.weighing = true
+	time.AfterFunc(next.Sub(now), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.weighing = false
+		f.weigh(f.clock())
+	})
+}
+
+// balancers counts those that listen here.
+func (f *Feed) balancers(now time.Time) int {
+	for name, asked := range f.asked {
+		if now.Sub(asked) > balancerFor {
+			delete(f.asked, name)
+		}
+	}
+	return len(f.asked)
+}
--- a/internal/control/upstreams/upstreams.go
+++ b/internal/control/upstreams/upstreams.go
@@ -12,6 +12,7 @@
 
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/silence/word"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -96,7 +97,11 @@
 	if a.State != upstream.Withdrawn && !u.feed.Configured(a.Service) {
 		return &UnknownServiceError{Service: a.Service}
 	}
-	if u.feed.Announce(u.settings.Clock(), a, cold) {
+	news, answers := u.feed.Announce(u.settings.Clock(), a, cold)
+	if answers {
+		u.tellOfLife(a)
+	}
+	if news {
 		u.log.Info("upstream announced", "Incarnation", fmt.Sprintf("%x", a.Incarnation), "Service", a.Service,
 			"Address", a.Address.String(), "State", a.State.String(), "Sequence", a.Sequence, "Born", a.Born)
 	}
@@ -106,6 +111,21 @@
 	return u.share(ctx, shared{Upstream: a, Cold: cold})
 }
 
+// tellOfLife tells the other voters that an upstream lives whose packets were left
+// unanswered; they do not hear its announcements.
+func (u *Upstreams) tellOfLife(a upstream.Upstream) {
+	r := word.Report{Events: []word.Event{feed.Heard(a)}}
+	for _, address := range lo.Without(u.settings.Known(), u.settings.Self) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
+			defer cancel()
+			if _, err := rpc.Call[word.Report, empty](ctx, u.client(address), feed.ReportMethod, r); err != nil {
+				u.log.Debug("sign of life not told", "Address", address, "Error", err)
+			}
+		}()
+	}
+}
+
 // share tells the other voters and waits until a majority holds the news.
 func (u *Upstreams) share(ctx context.Context, s shared) error {
 	others, voting := lo.Without(u.settings.Known(), u.settings.Self), u.settings.Voting()
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -9,6 +9,7 @@
 
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/silence/word"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -46,6 +47,7 @@
 // Follower asks all voters it knows.
 type Follower struct {
 	token    string
+	from     string
 	clock    func() time.Time
 	log      hclog.Logger
 	listener Listener
@@ -53,15 +55,18 @@
 	ctx      context.Context
 	asking   map[string]bool
 	named    map[string]time.Time
-	fetcher  *fetcher
-	running  sync.WaitGroup
+	// reporters are those of the voters whose last question was answered.
+	reporters map[string]*reporter
+	fetcher   *fetcher
+	running   sync.WaitGroup
 }
 
-// New returns a follower that begins with Start.
-func New(token string, clock func() time.Time, l Listener, log hclog.Logger) *Follower {
+// New returns a follower that begins with Start; from names it to voters, and is empty
+// for a voter.
+func New(token, from string, clock func() time.Time, l Listener, log hclog.Logger) *Follower {
 	return &Follower{
-		token: token, clock: clock, log: log, listener: l, asking: map[string]bool{}, named: map[string]time.Time{},
-		fetcher: newFetcher(token, l, log),
+		token: token, from: from, clock: clock, log: log, listener: l, asking: map[string]bool{}, named: map[string]time.Time{},
+		reporters: map[string]*reporter{}, fetcher: newFetcher(token, l, log),
 	}
 }
 
@@ -79,6 +84,26 @@
 // Wait returns when all asking has ended.
 func (f *Follower) Wait() { f.running.Wait() }
 
+// Report tells the voters that answer of upstreams that do not, or do again.
+func (f *Follower) Report(events []word.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.reporters {
+		r.tell(events)
+	}
+}
+
+// takesReports notes whether a voter answers, so that it can be told of silence.
+func (f *Follower) takesReports(address string, r *reporter, answers bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if answers {
+		f.reporters[address] = r
+	} else {
+		delete(f.reporters, address)
+	}
+}
+
 // Name tells of voters' addresses; those not known yet are asked from now on.
 func (f *Follower) Name(addresses []string) {
 	f.mu.Lock()
@@ -111,11 +136,21 @@
 	defer f.running.Done()
 	client := rpc.NewClient(address, f.token)
 	defer client.Close()
+	ctx, cancel := context.WithCancel(f.ctx)
+	defer cancel()
+	reporter := newReporter(f.token, f.from, address, f.clock, f.log)
+	defer f.takesReports(address, reporter, false)
+	f.running.Add(1)
+	go func() {
+		defer f.running.Done()
+		reporter.run(ctx)
+	}()
 	var q feed.Question
 	pause, answered := retryAfter, f.clock()
 	failing := false
 	for f.ctx.Err() == nil {
 		err := f.once(client, address, &q)
+		f.takesReports(address, reporter, err == nil)
 		if err == nil {
 			if failing {
 				f.log.Info("voter answers again", "Address", address)
@@ -139,14 +174,14 @@
 }
 
 func (f *Follower) once(client *rpc.Client, address string, q *feed.Question) error {
-	q.Hold, q.Recalled = hold, !f.listener.Informed()
+	q.Hold, q.Recalled, q.From = hold, !f.listener.Informed(), f.from
 	ctx, cancel := context.WithTimeout(f.ctx, hold+grace)
 	defer cancel()
 	a, err := rpc.Call[feed.Question, feed.Answer](ctx, client, feed.SinceMethod, *q)
 	if err != nil {
 		return err
 	}
-	q.Revision, q.Life, q.Version = a.Revision, a.Life, a.Version
+	q.Revision, q.Life, q.Version, q.Doubts = a.Revision, a.Life, a.Version, a.DoubtsVersion
 	f.listener.Answered(address, a)
 	f.fetcher.tell(address, a.Revision)
 	f.Name(a.Members)
--- a/internal/cookie/follower/follower_test.go
+++ b/internal/cookie/follower/follower_test.go
@@ -101,7 +101,7 @@
 
 func follow(t *testing.T, addresses ...string) *listener {
 	l := &listener{notices: map[string]int{}}
-	f := follower.New("group", time.Now, l, hclog.NewNullLogger())
+	f := follower.New("group", "balancer", time.Now, l, hclog.NewNullLogger())
 	ctx, cancel := context.WithCancel(context.Background())
 	f.Start(ctx, addresses)
 	t.Cleanup(func() {
--- a/internal/cookie/response/response.go
+++ b/internal/cookie/response/response.go
@@ -45,8 +45,14 @@
 // the middle; 1 where that is not known or not much.
 func (r *Response) Slowness() float64 { return max(r.slow, 1) }
 
-// Compare works out the slowness of all upstreams of a service.
-func Compare(now time.Time, all []*Response) {
+// Mean is the mean of the last answers, and false where there was none lately.
+func (r *Response) Mean(now time.Time) (time.Duration, bool) {
+	return time.Duration(r.mean * float64(time.Second)), r.fresh(now)
+}
+
+// Compare works out the slowness of all upstreams of a service, and returns the response
+// time in the middle, 0 where none is known.
+func Compare(now time.Time, all []*Response) time.Duration {
 	means := make([]float64, 0, len(all))
 	for _, r := range all {
 		if r.fresh(now) {
@@ -54,13 +60,18 @@
 		}
 	}
 	slices.Sort(means)
+	middle := 0.0
+	if len(means) > 0 {
+		middle = means[(len(means)-1)/2]
+	}
 	for _, r := range all {
 		r.slow = 1
 		if len(means) == 0 || !r.fresh(now) {
 			continue
 		}
-		if ratio := r.mean / means[(len(means)-1)/2]; ratio >= slowFrom {
+		if ratio := r.mean / middle; ratio >= slowFrom {
 			r.slow = min(ratio, slowMost)
 		}
 	}
+	return time.Duration(middle * float64(time.Second))
 }
--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -33,6 +33,9 @@
 	// sent is when the opening or the request under way was first sent.
 	sent    time.Time
 	working bool
+	// repeated says that the opening or the request had to be sent again, reported
+	// that voters were told.
+	repeated, reported bool
 	// beside is what the service had under way when the request was sent.
 	beside int
 	// next is the end of what the caller has sent, acknowledged what it has got.
@@ -46,6 +49,7 @@
 	r.flows[k] = &flow{target: t, seen: now, sent: now, opening: true}
 	t.count(1, 0)
 	t.flows++
+	t.recent.sent++
 }
 
 // leave takes a flow's load off its target.
@@ -83,13 +87,13 @@
 	if f.opening {
 		f.opening = false
 		t.count(-1, 0)
-		r.sawLife(now, t)
+		r.answeredOnce(now, f)
 		tell(r.settings.Opened, now.Sub(f.sent))
 		f.next, f.acknowledged = p.Sequence, p.Acknowledged
 	}
 	if int32(p.Acknowledged-f.acknowledged) > 0 {
 		f.acknowledged = p.Acknowledged
-		r.sawLife(now, t)
+		r.answeredOnce(now, f)
 		if f.working {
 			f.working = false
 			t.count(0, -1)
@@ -102,6 +106,16 @@
 	}
 }
 
+// answeredOnce notes a sign of life on a flow.
+func (r *Router) answeredOnce(now time.Time, f *flow) {
+	r.losses.answered++
+	if f.repeated {
+		r.losses.repeated++
+		f.repeated = false
+	}
+	r.sawLife(now, f.target)
+}
+
 func (r *Router) noteData(now time.Time, f *flow, t *target, p Packet) {
 	if p.Length == 0 {
 		return
@@ -111,12 +125,14 @@
 		f.next = end
 		if !f.working {
 			f.working, f.sent, f.beside = true, now, t.service.underWay
+			f.repeated, f.reported = false, false
+			t.recent.sent++
 			t.count(0, 1)
 		}
 		return
 	}
 	if f.working {
-		r.missed(now, t, f.sent)
+		r.missed(now, p.Address, f)
 	}
 }
 
@@ -125,14 +141,15 @@
 
 // compare works out which upstreams are slower than others of their service.
 func (r *Router) compare(now time.Time) {
-	for _, members := range r.members {
-		response.Compare(now, lo.Map(members, func(t *target, _ int) *response.Response { return &t.response }))
+	for name, members := range r.members {
+		r.service(name).usual = response.Compare(now, lo.Map(members, func(t *target, _ int) *response.Response { return &t.response }))
 	}
 }
 
 // Tick forgets what is old; call it ten times a second.
 func (r *Router) Tick(now time.Time) {
 	r.compare(now)
+	r.measureLosses()
 	if now.Sub(r.swept) < sweepEvery {
 		return
 	}
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -73,12 +73,14 @@
 	Waiting
 	// Overloaded services answer later than the callers of a new flow accept.
 	Overloaded
+	// Unresponsive upstreams leave the packets of all balancers unanswered.
+	Unresponsive
 	// Stray packets belong to no flow and ask for none.
 	Stray
 )
 
 var reasonNames = [...]string{
-	"Known", "Placed", "Repeated", "Unconfigured", "NoRoute", "NoUpstream", "UnknownCookie", "Ended", "Busy", "Waiting", "Overloaded", "Stray",
+	"Known", "Placed", "Repeated", "Unconfigured", "NoRoute", "NoUpstream", "UnknownCookie", "Ended", "Busy", "Waiting", "Overloaded", "Unresponsive", "Stray",
 }
 
 // Early says that a packet that is dropped for the reason may be placed soon,
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/silence/word"
 	"wasabideal/internal/upstream/view"
 )
 
@@ -38,7 +39,7 @@
 	members  map[string][]*target
 	pools    map[string][]*target
 	flows    map[Flow]*flow
-	zones    map[string]*suspicion
+	zones    map[string]*zone
 	services map[string]*service
 	// urgent is the best priority among the routes to each service.
 	urgent map[string]int
@@ -46,7 +47,10 @@
 	// former are the earlier lives of upstreams that started again.
 	former []formerLife
 	// drawn is when the upstreams were first told.
-	drawn time.Time
+	drawn  time.Time
+	losses losses
+	// reports are what voters must be told.
+	reports []word.Event
 	// turn moves on with each choice, so that equal upstreams take turns.
 	turn int
 }
@@ -59,7 +63,7 @@
 	return &Router{
 		settings: s, turn: int(s.Seed % turns), routes: map[netip.AddrPort]configuration.Route{}, targets: map[uint64]*target{},
 		cookies: map[uint32]*target{}, members: map[string][]*target{}, pools: map[string][]*target{}, flows: map[Flow]*flow{},
-		zones: map[string]*suspicion{}, services: map[string]*service{}, urgent: map[string]int{},
+		zones: map[string]*zone{}, services: map[string]*service{}, urgent: map[string]int{},
 	}
 }
 
@@ -147,7 +151,7 @@
 		r.targets[x.Incarnation] = t
 		r.members[x.Service] = append(r.members[x.Service], t)
 	}
-	t.Target = x
+	t.Target, t.zone = x, r.zone(x.Zone)
 	if !t.clash {
 		r.cookies[t.cookie] = t
 	}
@@ -232,6 +236,12 @@
 		}
 		return v
 	}
+	if p.Length > 0 && t.unresponsive() && r.Class(p.Address).Repeatable() {
+		if f := r.flows[p.Flow()]; f != nil {
+			r.forget(p.Flow(), f)
+		}
+		return Verdict{Action: Reset, Reason: Unresponsive, Incarnation: t.Incarnation, Revision: r.revision, Sequence: t.Sequence}
+	}
 	r.note(now, p.Flow(), t, p)
 	return r.forward(t, Known)
 }
@@ -257,7 +267,7 @@
 	k := p.Flow()
 	if f := r.flows[k]; f != nil {
 		if f.opening {
-			r.missed(now, f.target, f.sent)
+			r.missed(now, p.Address, f)
 		}
 		if !f.target.Ended {
 			return r.forward(f.target, Repeated)
@@ -299,27 +309,18 @@
 	}
 }
 
-// sawLife notes an answer of an upstream.
-func (r *Router) sawLife(now time.Time, t *target) {
-	t.sawLife(now)
-	if z := r.zones[t.Zone]; z != nil {
-		z.sawLife(now)
-	}
-}
-
-// missed notes a packet to an upstream, first sent at a time, that had to be
-// repeated. Where nothing was heard of the other zone since, the zone is
+// missed notes an opening or a request that had to be repeated. Where nothing was heard of the other zone since, the zone is
 // suspected with it: a zone that is cut off would otherwise cost an opening for
 // each of its upstreams, again and again.
-func (r *Router) missed(now time.Time, t *target, first time.Time) {
-	if !t.missed(now, first) {
+func (r *Router) missed(now time.Time, address netip.AddrPort, f *flow) {
+	f.repeated = true
+	r.unanswered(now, address, f)
+	t := f.target
+	if !t.missed(now, f.sent) {
 		return
 	}
 	if t.Zone != r.settings.Zone {
-		if r.zones[t.Zone] == nil {
-			r.zones[t.Zone] = &suspicion{}
-		}
-		r.zones[t.Zone].missed(now, first)
+		t.zone.missed(now, f.sent)
 	}
 	if r.settings.Suspected != nil {
 		r.settings.Suspected(t.Target)
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -15,6 +15,8 @@
 	others, uploads admission.Admission
 	// underWay counts flows that are being opened and requests without an answer.
 	underWay int
+	// usual is the response time of the upstream in the middle, 0 where none is known.
+	usual time.Duration
 }
 
 // service returns the service of that name.
--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -35,6 +35,10 @@
 	// flows counts the flows seen here lately.
 	flows    int
 	response response.Response
+	zone     *zone
+	recent   recent
+	// doubt is what voters say, nil where they say nothing.
+	doubt *doubt
 	suspicion
 }
 
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -127,7 +127,7 @@
 		Known: c.voter.Members, Voting: c.voter.Voting,
 	}, c.feed, c.log)
 	c.others = newOthers(c.settings.Clock)
-	c.follower = follower.New(c.settings.GroupToken, c.settings.Clock, c.others, c.log)
+	c.follower = follower.New(c.settings.GroupToken, "", c.settings.Clock, c.others, c.log)
 	c.recallUpstreams()
 	c.server = rpc.NewServer(c.voter.Denied)
 	c.voter.Serve(c.server)
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -19,6 +19,8 @@
 	"wasabideal/internal/cookie/uplink"
 	"wasabideal/internal/cookie/waiting"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/silence/doubts"
+	"wasabideal/internal/silence/word"
 	"wasabideal/internal/upstream/view"
 	"wasabideal/internal/wire/datagram"
 )
@@ -80,6 +82,10 @@
 	mu       sync.Mutex
 	router   *router.Router
 	view     *view.View
+	// doubts are what voters say of upstreams that leave packets unanswered.
+	doubts *doubts.Doubts
+	// unresponsive are those that were logged as such.
+	unresponsive map[word.Subject]bool
 	// early are packets that could not be placed yet.
 	early *waiting.Waiting[earlyKey, earlyPacket]
 	// uploads is nil where nothing is paced.
@@ -107,6 +113,7 @@
 	}
 	b := &Balancer{
 		settings: s, log: log, socket: socket, counts: newCounts(),
+		doubts: doubts.New(follower.ContactLease), unresponsive: map[word.Subject]bool{},
 		early: waiting.New[earlyKey, earlyPacket](),
 		view:  view.New(view.Settings{ContactLease: follower.ContactLease, InheritFor: inheritFor, ForgetAfter: forgetAfter}),
 	}
@@ -117,7 +124,7 @@
 		Zone: s.Zone, Seed: xxhash.Sum64String(s.Fabric), Suspected: b.suspected,
 		Opened: b.counts.opened.Record, Answered: b.counts.answered.Record,
 	})
-	b.follower = follower.New(s.Token, s.Clock, b, log)
+	b.follower = follower.New(s.Token, s.Fabric, s.Clock, b, log)
 	return b, nil
 }
 
@@ -187,6 +194,9 @@
 	now := b.settings.Clock()
 	b.view.Take(now, address, a.Life, a.Notices)
 	b.refresh(now)
+	if b.doubts.Take(now, address, a.Doubts) {
+		b.doubt(now)
+	}
 }
 
 // refresh gives the router the upstreams as the voters tell of them; the lock is held.
@@ -223,6 +233,9 @@
 			now := b.settings.Clock()
 			b.router.Tick(now)
 			b.refresh(now)
+			if b.doubts.Expired(now) {
+				b.doubt(now)
+			}
 			b.reports.flush(now, b.log)
 			b.mu.Unlock()
 		}
@@ -254,6 +267,7 @@
 		if err := b.socket.Flush(); err != nil {
 			b.sendFailed(err)
 		}
+		b.tellVoters()
 		b.mu.Unlock()
 	}
 }
--- a/internal/daemon/cookie/cookie_test.go
+++ b/internal/daemon/cookie/cookie_test.go
@@ -14,11 +14,14 @@
 	"github.com/stretchr/testify/require"
 
 	"wasabideal/internal/control/agreement"
+	"wasabideal/internal/control/feed"
 	"wasabideal/internal/cookie/router"
 	"wasabideal/internal/daemon/control"
 	"wasabideal/internal/daemon/cookie"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/silence/word"
+	"wasabideal/internal/wire/rpc"
 )
 
 // plain is a codec of JSON packets.
@@ -228,3 +231,31 @@
 		return finish && placed
 	}, 60*time.Second, time.Second)
 }
+
+// Symptom: callers waited for an upstream without power until their deadlines, on flows
+// that had been idle, too.
+// Events: a flow is opened at an upstream; balancers report that it leaves packets
+// unanswered.
+// Cause: flows were reset only once an upstream had certainly ended.
+func TestFlowOfAnUnresponsiveUpstreamIsReset(t *testing.T) {
+	c := startVoter(t)
+	publish(t, c)
+	caller, serves := listenUDP(t), listenUDP(t)
+	announce(t, c, addressOf(serves))
+	b := startBalancer(t, c.Address())
+	t.Cleanup(b.Stop)
+	require.Eventually(t, b.Ready, 5*time.Second, 5*time.Millisecond)
+	send(t, caller, b, router.Packet{Opening: true})
+	_, ok := receive(serves, 5*time.Second)
+	require.True(t, ok)
+	client := rpc.NewClient(c.Address(), "group")
+	t.Cleanup(client.Close)
+	report := word.Report{From: "another", Events: []word.Event{
+		{Incarnation: 77, Zone: "a", Weight: 7}, {Incarnation: 77, Zone: "a", Weight: 7}, {Incarnation: 77, Zone: "a", Weight: 7},
+	}}
+	_, err := rpc.Call[word.Report, struct{}](t.Context(), client, feed.ReportMethod, report)
+	require.NoError(t, err)
+	data, ok := receive(caller, 5*time.Second)
+	require.True(t, ok)
+	require.Equal(t, "reset", string(data))
+}
--- a/internal/daemon/cookie/counts.go
+++ b/internal/daemon/cookie/counts.go
@@ -17,18 +17,22 @@
 	malformed        metrics.Counter
 	sendErrors       metrics.Counter
 	suspicions       metrics.Counter
+	unresponsive     metrics.Counter
+	silenceReported  metrics.Counter
 	opened, answered latency.Latency
 }
 
 func newCounts() *counts {
 	r := metrics.NewRegistry()
 	c := &counts{
-		registry:   r,
-		malformed:  metrics.NewRegisteredCounter("DatagramsMalformedTotal", r),
-		sendErrors: metrics.NewRegisteredCounter("SendErrorsTotal", r),
-		suspicions: metrics.NewRegisteredCounter("SuspicionsTotal", r),
-		opened:     latency.New("Opening", r),
-		answered:   latency.New("Answer", r),
+		registry:        r,
+		malformed:       metrics.NewRegisteredCounter("DatagramsMalformedTotal", r),
+		sendErrors:      metrics.NewRegisteredCounter("SendErrorsTotal", r),
+		suspicions:      metrics.NewRegisteredCounter("SuspicionsTotal", r),
+		unresponsive:    metrics.NewRegisteredCounter("UnresponsiveTotal", r),
+		silenceReported: metrics.NewRegisteredCounter("SilenceReportedTotal", r),
+		opened:          latency.New("Opening", r),
+		answered:        latency.New("Answer", r),
 	}
 	for reason := router.Known; reason <= router.Stray; reason++ {
 		c.decisions[reason] = metrics.NewRegisteredCounter("Packets"+reason.String()+"Total", r)
--- a/internal/log/story/causes.go
+++ b/internal/log/story/causes.go
@@ -39,6 +39,8 @@
 		return "kept for a moment: the VM's link had as many uploads as it carries"
 	case router.Overloaded.String():
 		return "reset: the service answered later than the route's objective; the caller may come back"
+	case router.Unresponsive.String():
+		return "reset: balancers together found the flow's upstream silent; the caller may ask again"
 	case router.Ended.String():
 		return "reset: the flow's upstream " + l.Incarnation + " is gone"
 	case router.Unconfigured.String():
--- /dev/null
+++ b/internal/silence/accrual/accrual_test.go
@@ -0,0 +1,188 @@
+package accrual_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"wasabideal/internal/silence/accrual"
+	"wasabideal/internal/silence/word"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(milliseconds int) time.Time { return epoch.Add(time.Duration(milliseconds) * time.Millisecond) }
+
+// usual is the weight of a packet where one in a hundred is lost.
+const usual = 4.6
+
+func unanswered(incarnation uint64, weight float64) word.Event {
+	return word.Event{Incarnation: incarnation, Zone: "a", Age: 200 * time.Millisecond, Weight: weight}
+}
+
+func answered(incarnation uint64, age time.Duration) word.Event {
+	return word.Event{Incarnation: incarnation, Zone: "a", Age: age, Answered: true}
+}
+
+// doubts names what is in doubt: u for upstreams, z for zones, capital where unresponsive.
+func doubts(a *accrual.Accrual, now time.Time) string {
+	out := ""
+	for _, d := range a.Doubts(now) {
+		name := "u"
+		if d.Zone != "" {
+			name = "z"
+		}
+		if d.Unresponsive {
+			name = map[string]string{"u": "U", "z": "Z"}[name]
+		}
+		out += name
+	}
+	return out
+}
+
+// Symptom: requests on open flows waited for upstreams without power until their
+// deadlines; each balancer found out after a second or more.
+// Events: an upstream loses power; three balancers see a packet unanswered each.
+// Cause: each of them knew of one, which is no proof.
+func TestSilenceSeenBySeveralBalancersCounts(t *testing.T) {
+	a := accrual.New()
+	a.Note(at(0), "b1", unanswered(1, usual))
+	require.Zero(t, a.Decide(at(0), 7))
+	require.Empty(t, doubts(a, at(0)))
+	a.Note(at(10), "b2", unanswered(1, usual))
+	require.Equal(t, at(60), a.Decide(at(10), 7))
+	require.Contains(t, doubts(a, at(10)), "u", "balancers are asked for signs of life")
+	a.Note(at(20), "b3", unanswered(1, usual))
+	a.Decide(at(20), 7)
+	require.NotContains(t, doubts(a, at(20)), "U", "they have some time for it")
+	require.Equal(t, at(80), a.Decide(at(70), 7))
+	require.NotContains(t, doubts(a, at(70)), "U", "and the last packet's repetition for its answer")
+	a.Decide(at(80), 7)
+	require.Contains(t, doubts(a, at(80)), "U")
+	require.Equal(t, 280*time.Millisecond, a.Doubts(at(80))[0].Age)
+	a.Decide(at(2000), 7)
+	require.Contains(t, doubts(a, at(2000)), "U")
+	a.Decide(at(2700), 7)
+	require.Empty(t, doubts(a, at(2700)), "without new evidence it is tried again")
+}
+
+// Symptom: flows of upstreams that served were reset.
+// Events: one balancer's link loses what it sends; every upstream seems silent to it.
+// Cause: one balancer's word was enough.
+func TestOneBalancerAloneProvesNothing(t *testing.T) {
+	a := accrual.New()
+	for i := range 20 {
+		a.Note(at(i), "b1", unanswered(uint64(i%4), usual))
+		a.Decide(at(i), 7)
+	}
+	a.Decide(at(200), 7)
+	require.NotContains(t, doubts(a, at(200)), "U")
+	require.NotContains(t, doubts(a, at(200)), "Z")
+	a.Decide(at(201), 1)
+	require.Contains(t, doubts(a, at(201)), "U", "it counts where no other balancer listens here")
+}
+
+func TestSignOfLifeEndsTheEvidenceOfBefore(t *testing.T) {
+	a := accrual.New()
+	for i, from := range []string{"b1", "b2", "b3", "b4"} {
+		a.Note(at(i), from, unanswered(1, usual))
+	}
+	a.Decide(at(5), 7)
+	require.True(t, a.Questioned(answered(1, 0)))
+	a.Note(at(10), "b5", answered(1, 400*time.Millisecond))
+	require.Contains(t, doubts(a, at(10)), "u", "it came before the first of the packets was sent")
+	a.Note(at(20), "b5", answered(1, 0))
+	require.Empty(t, doubts(a, at(20)))
+	require.False(t, a.Questioned(answered(1, 0)))
+	a.Note(at(30), "b1", unanswered(1, usual))
+	a.Note(at(30), "b2", unanswered(1, usual))
+	a.Decide(at(100), 7)
+	require.Empty(t, doubts(a, at(100)), "packets of before the sign of life say nothing")
+}
+
+// Symptom: flows were reset on links that lose packets.
+// Events: one packet in three is lost; some upstream's three last ones were.
+// Cause: three packets counted alike on good links and on bad ones.
+func TestLossyLinksNeedMoreEvidence(t *testing.T) {
+	a := accrual.New()
+	for i, from := range []string{"b1", "b2", "b3", "b4", "b5", "b6"} {
+		a.Note(at(i), from, unanswered(1, 1.1))
+	}
+	a.Decide(at(10), 7)
+	a.Decide(at(100), 7)
+	require.Empty(t, doubts(a, at(100)))
+}
+
+// Symptom: requests on flows into a zone that was cut off waited until their deadlines.
+// Events: the zone is cut off; each of its upstreams has few flows from elsewhere.
+// Cause: no upstream gave enough evidence by itself.
+func TestZoneIsSilentAsAWhole(t *testing.T) {
+	a := accrual.New()
+	for i := range 5 {
+		a.Note(at(i), []string{"b1", "b2"}[i%2], unanswered(uint64(i), usual))
+	}
+	a.Decide(at(5), 7)
+	a.Decide(at(100), 7)
+	require.Equal(t, "Z", doubts(a, at(100)))
+	a.Note(at(110), "b3", answered(9, 0))
+	require.Empty(t, doubts(a, at(110)), "one of its upstreams lives")
+}
+
+// Symptom: flows into a zone that served were reset by a balancer that had stood still.
+// Events: a sign of life ends a doubt; packets that were sent before it are reported
+// late, by balancers that stood still.
+// Cause: the sign of life was forgotten with the evidence that it ended.
+func TestPacketsOfBeforeTheSignOfLifeSayNothing(t *testing.T) {
+	a := accrual.New()
+	a.Note(at(0), "b1", unanswered(1, 2*usual))
+	a.Decide(at(0), 7)
+	a.Note(at(50), "b2", answered(1, 0))
+	a.Decide(at(60), 7)
+	for i, from := range []string{"b1", "b2", "b3"} {
+		late := unanswered(1, 2*usual)
+		late.Age = 600 * time.Millisecond
+		a.Note(at(400+i), from, late)
+	}
+	a.Decide(at(410), 7)
+	require.Empty(t, doubts(a, at(410)))
+}
+
+func TestUpstreamsLaterLifeIsInNoDoubt(t *testing.T) {
+	a := accrual.New()
+	for i, from := range []string{"b1", "b2", "b3"} {
+		e := unanswered(1, usual)
+		e.Born = 100
+		a.Note(at(i), from, e)
+	}
+	a.Decide(at(100), 7)
+	for _, d := range a.Doubts(at(100)) {
+		if d.Incarnation == 1 {
+			require.Equal(t, uint64(100), d.Born)
+		}
+	}
+}
+
+// TestUpstreamThatAnswersIsNeverUnresponsive plays random words of balancers, of which
+// one at least sees a sign of life at least every objection time.
+func TestUpstreamThatAnswersIsNeverUnresponsive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := accrual.New()
+		now, alive := epoch, epoch
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 15).Draw(t, "pause")) * time.Millisecond)
+			if now.Sub(alive) > 40*time.Millisecond {
+				a.Note(now, "b0", answered(1, 0))
+				alive = now
+			}
+			e := unanswered(1, rapid.Float64Range(0, 5).Draw(t, "weight"))
+			e.Age = time.Duration(rapid.IntRange(180, 1500).Draw(t, "age")) * time.Millisecond
+			a.Note(now, rapid.SampledFrom([]string{"b1", "b2", "b3"}).Draw(t, "from"), e)
+			a.Decide(now, 4)
+			for _, d := range a.Doubts(now) {
+				require.False(t, d.Unresponsive)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/silence/doubts/doubts.go
@@ -0,0 +1,71 @@
+package doubts
+
+import (
+	"time"
+
+	"wasabideal/internal/silence/word"
+)
+
+// Doubt is one subject's doubt on the balancer's own clock.
+type Doubt struct {
+	// First is when the first of the unanswered packets was sent.
+	First time.Time
+	// Unresponsive says that a voter has enough evidence.
+	Unresponsive bool
+}
+
+type told struct {
+	at     time.Time
+	doubts []word.Doubt
+}
+
+// Doubts are the voters' words; one goroutine owns them.
+type Doubts struct {
+	lease time.Duration
+	told  map[string]told
+}
+
+// New returns no doubts; a voter's word holds for the lease without an answer from it.
+func New(lease time.Duration) *Doubts { return &Doubts{lease: lease, told: map[string]told{}} }
+
+// Take notes all that one voter doubts, and reports whether that may change the whole.
+func (d *Doubts) Take(now time.Time, voter string, all []word.Doubt) bool {
+	before := d.told[voter]
+	if len(all) == 0 {
+		delete(d.told, voter)
+		return len(before.doubts) > 0
+	}
+	d.told[voter] = told{at: now, doubts: all}
+	return true
+}
+
+// Expired drops the words of voters that have not answered for the lease, and reports
+// whether there were any.
+func (d *Doubts) Expired(now time.Time) bool {
+	expired := false
+	for voter, t := range d.told {
+		if now.Sub(t.at) > d.lease {
+			delete(d.told, voter)
+			expired = true
+		}
+	}
+	return expired
+}
+
+// All joins the words: one voter's suffices, since the others may be cut off from those
+// who saw the silence.
+func (d *Doubts) All() map[word.Subject]Doubt {
+	all := map[word.Subject]Doubt{}
+	for _, t := range d.told {
+		for _, x := range t.doubts {
+			first := t.at.Add(-x.Age)
+			j, known := all[x.Subject]
+			if !known || first.Before(j.First) {
+				j.First = first
+			}
+			j.Unresponsive = j.Unresponsive || x.Unresponsive
+			all[x.Subject] = j
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/silence/doubts/doubts_test.go
@@ -0,0 +1,37 @@
+package doubts_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/silence/doubts"
+	"wasabideal/internal/silence/word"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestWordsOfVotersAreJoined(t *testing.T) {
+	d := doubts.New(3 * time.Second)
+	one := word.Subject{Incarnation: 1}
+	require.False(t, d.Take(epoch, "v1", nil))
+	require.True(t, d.Take(epoch, "v1", []word.Doubt{{Subject: one, Age: 300 * time.Millisecond}}))
+	require.True(t, d.Take(epoch, "v2", []word.Doubt{{Subject: one, Age: 200 * time.Millisecond, Unresponsive: true}}))
+	require.Equal(t, map[word.Subject]doubts.Doubt{
+		one: {First: epoch.Add(-300 * time.Millisecond), Unresponsive: true},
+	}, d.All())
+	require.True(t, d.Take(epoch, "v2", nil))
+	require.False(t, d.All()[one].Unresponsive)
+}
+
+// Symptom: an upstream that was back got no flow.
+// Events: a voter doubts it and loses power.
+// Cause: the voter's last word held for ever.
+func TestWordOfAVoterThatIsGoneExpires(t *testing.T) {
+	d := doubts.New(3 * time.Second)
+	d.Take(epoch, "v1", []word.Doubt{{Subject: word.Subject{Zone: "a"}}})
+	require.False(t, d.Expired(epoch.Add(2*time.Second)))
+	require.True(t, d.Expired(epoch.Add(4*time.Second)))
+	require.Empty(t, d.All())
+}
--- /dev/null
+++ b/internal/silence/word/doc.go
@@ -0,0 +1,3 @@
+// Package word holds what balancers and voters tell each other of upstreams that leave
+// packets unanswered.
+package word
