--- a/internal/cookie/router/choose.go
+++ b/internal/cookie/router/choose.go
@@ -81,6 +81,29 @@
 	return best
 }
 
+// earlyMost is the number of requests and openings under way at one upstream, as seen
+// here, beyond which packets that were kept wait on. After a loss of power everywhere
+// each of some balancers holds an equal share of them, and an upstream has room for ten:
+// all at once, 200 of 28,000 requests found a queue full, refused at once and three
+// times in a row; as room comes, 25.
+const earlyMost = 1
+
+// HasRoom says that a packet that was kept may be placed now. Packets that arrive are
+// placed at once: those are requests that are new, or that have been repeated for the
+// last time, while kept ones were repeated lately and have most of their time left.
+func (r *Router) HasRoom(now time.Time, p Packet) bool {
+	if !p.Opening {
+		t := r.cookies[p.Cookie]
+		return t == nil || p.Length == 0 || t.opening+t.working < earlyMost
+	}
+	route, ok := r.routes[p.Address]
+	if !ok || r.flows[p.Flow()] != nil {
+		return true
+	}
+	t := r.choose(now, pick(route.Backends(), p.Flow().number()), route.Class)
+	return t == nil || t.opening+t.working < earlyMost
+}
+
 // pick returns the service of a route for a new flow, by the weights and a
 // number that stays the same for all copies of the flow's opening.
 func pick(backends []configuration.Backend, number uint64) string {
--- a/internal/cookie/router/load_test.go
+++ b/internal/cookie/router/load_test.go
@@ -67,6 +67,8 @@
 	wanted  int
 	inTime  int
 	turned  int
+	// full counts requests that found a server's queue full.
+	full int
 }
 
 // newSite has balancers whose routes have an objective, or none, and that were told
@@ -142,9 +144,15 @@
 	if c.tries++; c.tries > triesMost {
 		return
 	}
+	s.place(c, s.routers[s.random.IntN(len(s.routers))], s.opening(c))
+}
+
+func (s *site) opening(c *call) router.Packet {
 	s.ports++
-	p := router.Packet{Caller: caller(s.ports), Address: c.address, Opening: true}
-	r := s.routers[s.random.IntN(len(s.routers))]
+	return router.Packet{Caller: caller(s.ports), Address: c.address, Opening: true}
+}
+
+func (s *site) place(c *call, r *router.Router, p router.Packet) {
 	v := r.Route(s.now, p)
 	if v.Action != router.Forward {
 		s.turned++
@@ -180,6 +188,7 @@
 	case len(x.waiting) < queueEach:
 		x.waiting = append(x.waiting, finish)
 	default:
+		s.full++
 		s.after(way, func() { s.answered(c, r, p, false) })
 	}
 }
@@ -280,3 +289,54 @@
 		Caller: caller(101), Address: notes, Opening: true,
 	}).Reason, "further uploads are late")
 }
+
+// keptMost is how many packets balancers hold when the first voter answers, after 1.2 s
+// without power, comingBack how many balancers there are.
+const keptMost, comingBack = 300, 7
+
+// comeBack plays the half second after an outage: balancers hold openings, and callers
+// ask for as much again as they usually do. It returns how often a server's queue was
+// full.
+func comeBack(t *testing.T, asRoomComes bool) int {
+	s := newSite(t, epoch, objective, nil)
+	s.routers = s.routers[:comingBack]
+	kept := make([][]router.Packet, comingBack)
+	for n := range keptMost {
+		kept[n%comingBack] = append(kept[n%comingBack], s.opening(&call{address: orders}))
+	}
+	var again func()
+	again = func() {
+		for i, r := range s.routers {
+			left := kept[i]
+			kept[i] = nil
+			for _, p := range left {
+				if asRoomComes && !r.HasRoom(s.now, p) {
+					kept[i] = append(kept[i], p)
+					continue
+				}
+				s.place(&call{address: p.Address, begun: epoch.Add(-time.Second), tries: triesMost}, r, p)
+			}
+		}
+		s.after(5*time.Millisecond, again)
+	}
+	again()
+	s.offer(0.4 * capacity)
+	s.run(warmUp + replay/10)
+	for i := range kept {
+		require.Empty(t, kept[i], "nothing waits for long")
+	}
+	return s.full
+}
+
+// Symptom: requests were refused three times in a row within some ms after an outage,
+// and those with little time left were late.
+// Events: balancers without power come back; 300 packets that arrived before the first
+// voter answered are placed at once, each upstream has room for ten.
+// Cause: full queues, which refuse at once, and behind which all others wait.
+func TestKeptPacketsArePlacedAsRoomComes(t *testing.T) {
+	atOnce := comeBack(t, false)
+	paced := comeBack(t, true)
+	t.Logf("full queues met: %d at once, %d as room comes", atOnce, paced)
+	require.Greater(t, atOnce, keptMost/4)
+	require.Less(t, paced, atOnce/10)
+}
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -267,6 +267,9 @@
 		if err := b.socket.Flush(); err != nil {
 			b.sendFailed(err)
 		}
+		if b.ready.Load() {
+			b.placeEarly(now)
+		}
 		b.tellVoters()
 		b.mu.Unlock()
 	}
--- a/internal/daemon/cookie/early.go
+++ b/internal/daemon/cookie/early.go
@@ -32,7 +32,13 @@
 		return
 	}
 	b.used = 0
-	b.early.Take(now, func(arrived time.Time, e earlyPacket) { b.carryOut(now, arrived, e.packet, e.data) })
+	b.early.Take(now, func(arrived time.Time, e earlyPacket) {
+		if !b.router.HasRoom(now, e.packet) {
+			b.keep(now, arrived, e.packet, e.data)
+			return
+		}
+		b.carryOut(now, arrived, e.packet, e.data)
+	})
 	if err := b.socket.Flush(); err != nil {
 		b.sendFailed(err)
 	}
