--- a/internal/cookie/router/choose.go
+++ b/internal/cookie/router/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/model/configuration"
 )
 
@@ -44,13 +45,28 @@
 	}
 }
 
-func (t *target) load(now time.Time) float64 {
-	return (float64(t.opening+t.working) + flowWeight*float64(t.flows)) / t.slots(now)
+func (r *Router) load(now time.Time, t *target) float64 {
+	return (float64(t.opening+t.working) + flowWeight*float64(t.flows)) / r.slots(now, t)
+}
+
+// slots is the number of requests that the upstream works on at once.
+func (r *Router) slots(now time.Time, t *target) float64 {
+	s := max(float64(t.Slots), 1)
+	if now.Before(t.ColdUntil) && !r.settings.Off.Has(mechanism.ColdShare) {
+		return s * coldShare
+	}
+	return s
 }
 
 // cost is how long a new request would take there, in the time that a request
 // takes at an idle upstream of the service.
-func (t *target) cost(now time.Time) float64 { return (1 + t.load(now)) * t.response.Slowness() }
+func (r *Router) cost(now time.Time, t *target) float64 {
+	slowness := t.response.Slowness()
+	if r.settings.Off.Has(mechanism.Slowness) {
+		slowness = 1
+	}
+	return (1 + r.load(now, t)) * slowness
+}
 
 // choose returns the upstream of a service for a new flow, nil where there is
 // none. Lower ranks go first, then the least cost, with the own zone preferred.
@@ -70,8 +86,8 @@
 	}
 	for i := range candidates {
 		t := candidates[(start+i)%len(candidates)]
-		k, cost := r.rank(now, t), t.cost(now)
-		if t.Zone != r.settings.Zone {
+		k, cost := r.rank(now, t), r.cost(now, t)
+		if t.Zone != r.settings.Zone && !r.settings.Off.Has(mechanism.OwnZone) {
 			cost += spill
 		}
 		if best == nil || k < bestRank || k == bestRank && cost < bestCost {
@@ -92,6 +108,9 @@
 // placed at once: those are requests that are new, or that have been repeated for the
 // last time, while kept ones were repeated lately and have most of their time left.
 func (r *Router) HasRoom(now time.Time, p Packet) bool {
+	if r.settings.Off.Has(mechanism.RoomAfterStart) {
+		return true
+	}
 	if !p.Opening {
 		t := r.cookies[p.Cookie]
 		return t == nil || p.Length == 0 || t.opening+t.working < earlyMost
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/silence/word"
 	"wasabideal/internal/upstream/view"
@@ -20,6 +21,8 @@
 	// of each other's flows, would otherwise send their first ones to the same
 	// upstreams.
 	Seed uint64
+	// Off are the mechanisms that are switched off.
+	Off mechanism.Off
 	// Suspected is told of an upstream that left a packet unanswered, if set.
 	Suspected func(view.Target)
 	// Opened is told how long the caller of a new flow waited until it was open,
@@ -281,7 +284,7 @@
 func (r *Router) placeNew(now time.Time, k Flow, route configuration.Route) Verdict {
 	number := k.number()
 	service := pick(route.Backends(), number)
-	settled := now.Sub(r.drawn) >= settleFor
+	settled := now.Sub(r.drawn) >= settleFor || r.settings.Off.Has(mechanism.Settling)
 	if v, refused := r.refuses(now, service, route, number); refused && settled {
 		return v
 	}
@@ -316,10 +319,10 @@
 	f.repeated = true
 	r.unanswered(now, address, f)
 	t := f.target
-	if !t.missed(now, f.sent) {
+	if r.settings.Off.Has(mechanism.Suspicion) || !t.missed(now, f.sent) {
 		return
 	}
-	if t.Zone != r.settings.Zone {
+	if t.Zone != r.settings.Zone && !r.settings.Off.Has(mechanism.ZoneSuspicion) {
 		t.zone.missed(now, f.sent)
 	}
 	if r.settings.Suspected != nil {
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wasabideal/internal/cookie/admission"
+	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/model/configuration"
 )
 
@@ -47,6 +48,9 @@
 // refuses returns the verdict on a new flow of a route that its service, under its
 // load, does not take.
 func (r *Router) refuses(now time.Time, name string, route configuration.Route, number uint64) (Verdict, bool) {
+	if r.settings.Off.Has(mechanism.Admission) {
+		return Verdict{}, false
+	}
 	s := r.service(name)
 	predicted := s.admission(route.Class).ResponseTime(now, s.underWay)
 	d := admission.Demand{
--- a/internal/cookie/router/silence.go
+++ b/internal/cookie/router/silence.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/silence/doubts"
 	"wasabideal/internal/silence/word"
@@ -117,7 +118,7 @@
 
 // report adds an event for the voters.
 func (r *Router) report(e word.Event) {
-	if len(r.reports) < reportsMost {
+	if !r.settings.Off.Has(mechanism.SharedSilence) && len(r.reports) < reportsMost {
 		r.reports = append(r.reports, e)
 	}
 }
--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -91,12 +91,3 @@
 func (t *target) takesFlows() bool {
 	return !t.clash && !t.Ended && t.State == upstream.Ready
 }
-
-// slots is the number of requests that the upstream works on at once.
-func (t *target) slots(now time.Time) float64 {
-	s := max(float64(t.Slots), 1)
-	if now.Before(t.ColdUntil) {
-		return s * coldShare
-	}
-	return s
-}
--- a/internal/cookie/waiting/waiting.go
+++ b/internal/cookie/waiting/waiting.go
@@ -1,6 +1,9 @@
 package waiting
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// limit bounds the packets kept: what some hundred callers send in a second.
@@ -54,6 +57,15 @@
 	}
 }
 
+// Remove drops the packet of a key, if one is kept.
+func (w *Waiting[K, T]) Remove(key K) {
+	if _, known := w.items[key]; !known {
+		return
+	}
+	delete(w.items, key)
+	w.order = slices.DeleteFunc(w.order, func(k K) bool { return k == key })
+}
+
 // Len returns the number of packets kept.
 func (w *Waiting[K, T]) Len() int { return len(w.order) }
 
--- a/internal/cookie/waiting/waiting_test.go
+++ b/internal/cookie/waiting/waiting_test.go
@@ -46,6 +46,16 @@
 	require.Zero(t, w.Len())
 }
 
+func TestRemovedPacketIsNotPlaced(t *testing.T) {
+	w := waiting.New[int, string]()
+	w.Keep(epoch, epoch, 1, "opening")
+	w.Keep(epoch, epoch, 2, "other")
+	w.Remove(1)
+	w.Remove(3)
+	require.Equal(t, 1, w.Len())
+	require.Equal(t, []string{"other"}, take(w, epoch))
+}
+
 func TestRoomIsBounded(t *testing.T) {
 	w := waiting.New[int, string]()
 	n := 0
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -15,6 +15,7 @@
 
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/cookie/follower"
+	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/cookie/router"
 	"wasabideal/internal/cookie/uplink"
 	"wasabideal/internal/cookie/waiting"
@@ -69,6 +70,8 @@
 	Codec       Codec
 	// LinkBytesPerSecond is what the VM's link carries; 0 paces nothing.
 	LinkBytesPerSecond float64
+	// Off are the mechanisms that are switched off.
+	Off mechanism.Off
 	// Clock is where this edge reads the time.
 	Clock func() time.Time
 }
@@ -88,6 +91,8 @@
 	unresponsive map[word.Subject]bool
 	// early are packets that could not be placed yet.
 	early *waiting.Waiting[earlyKey, earlyPacket]
+	// crowded are packets that could be, and wait for room at their upstream.
+	crowded *waiting.Waiting[earlyKey, earlyPacket]
 	// uploads is nil where nothing is paced.
 	uploads *uploads
 	held    configuration.Configuration
@@ -114,14 +119,14 @@
 	b := &Balancer{
 		settings: s, log: log, socket: socket, counts: newCounts(),
 		doubts: doubts.New(follower.ContactLease), unresponsive: map[word.Subject]bool{},
-		early: waiting.New[earlyKey, earlyPacket](),
-		view:  view.New(view.Settings{ContactLease: follower.ContactLease, InheritFor: inheritFor, ForgetAfter: forgetAfter}),
+		early: waiting.New[earlyKey, earlyPacket](), crowded: waiting.New[earlyKey, earlyPacket](),
+		view: view.New(view.Settings{ContactLease: follower.ContactLease, InheritFor: inheritFor, ForgetAfter: forgetAfter}),
 	}
-	if uplink.Narrow(s.LinkBytesPerSecond) {
+	if uplink.Narrow(s.LinkBytesPerSecond) && !s.Off.Has(mechanism.Pacing) {
 		b.uploads = newUploads(s.LinkBytesPerSecond)
 	}
 	b.router = router.New(router.Settings{
-		Zone: s.Zone, Seed: xxhash.Sum64String(s.Fabric), Suspected: b.suspected,
+		Zone: s.Zone, Seed: xxhash.Sum64String(s.Fabric), Off: s.Off, Suspected: b.suspected,
 		Opened: b.counts.opened.Record, Answered: b.counts.answered.Record,
 	})
 	b.follower = follower.New(s.Token, s.Fabric, s.Clock, b, log)
@@ -233,6 +238,7 @@
 			now := b.settings.Clock()
 			b.router.Tick(now)
 			b.refresh(now)
+			b.placeCrowded(now)
 			if b.doubts.Expired(now) {
 				b.doubt(now)
 			}
@@ -267,9 +273,7 @@
 		if err := b.socket.Flush(); err != nil {
 			b.sendFailed(err)
 		}
-		if b.ready.Load() {
-			b.placeEarly(now)
-		}
+		b.placeCrowded(now)
 		b.tellVoters()
 		b.mu.Unlock()
 	}
@@ -282,13 +286,17 @@
 		b.reports.malformed(err)
 		return
 	}
+	if b.crowded.Len() > 0 {
+		// The copy that waits would look like a repetition, and so like silence.
+		b.crowded.Remove(earlyPacket{packet: p}.key())
+	}
 	b.carryOut(now, now, p, data)
 }
 
 // carryOut decides on a packet that arrived at a time, and does it.
 func (b *Balancer) carryOut(now, arrived time.Time, p router.Packet, data []byte) {
 	v := b.decide(now, p, data)
-	if v.Action == router.Drop && v.Reason.Early() {
+	if v.Action == router.Drop && v.Reason.Early() && !b.settings.Off.Has(mechanism.KeptPackets) {
 		b.keep(now, arrived, p, data)
 	}
 	b.perform(now, p, data, v)
--- a/internal/daemon/cookie/early.go
+++ b/internal/daemon/cookie/early.go
@@ -20,10 +20,14 @@
 	data   []byte
 }
 
+func (e earlyPacket) key() earlyKey {
+	return earlyKey{flow: e.packet.Flow(), opening: e.packet.Opening, sequence: e.packet.Sequence}
+}
+
 // keep keeps a packet until the voters have told what it takes to place it.
 func (b *Balancer) keep(now, arrived time.Time, p router.Packet, data []byte) {
-	k := earlyKey{flow: p.Flow(), opening: p.Opening, sequence: p.Sequence}
-	b.early.Keep(now, arrived, k, earlyPacket{packet: p, data: slices.Clone(data)})
+	e := earlyPacket{packet: p, data: slices.Clone(data)}
+	b.early.Keep(now, arrived, e.key(), e)
 }
 
 // placeEarly tries to place the packets kept; the lock is held.
@@ -32,14 +36,30 @@
 		return
 	}
 	b.used = 0
-	b.early.Take(now, func(arrived time.Time, e earlyPacket) {
-		if !b.router.HasRoom(now, e.packet) {
-			b.keep(now, arrived, e.packet, e.data)
-			return
-		}
-		b.carryOut(now, arrived, e.packet, e.data)
-	})
+	b.early.Take(now, func(arrived time.Time, e earlyPacket) { b.placeOrWait(now, arrived, e) })
+	if err := b.socket.Flush(); err != nil {
+		b.sendFailed(err)
+	}
+}
+
+// placeCrowded places the packets that waited for room at their upstream, as far as there
+// is some; the lock is held.
+func (b *Balancer) placeCrowded(now time.Time) {
+	if b.crowded.Len() == 0 {
+		return
+	}
+	b.used = 0
+	b.crowded.Take(now, func(arrived time.Time, e earlyPacket) { b.placeOrWait(now, arrived, e) })
 	if err := b.socket.Flush(); err != nil {
 		b.sendFailed(err)
 	}
 }
+
+// placeOrWait places a packet that was kept, unless its upstream has no room for it yet.
+func (b *Balancer) placeOrWait(now, arrived time.Time, e earlyPacket) {
+	if b.router.HasRoom(now, e.packet) {
+		b.carryOut(now, arrived, e.packet, e.data)
+		return
+	}
+	b.crowded.Keep(now, arrived, e.key(), e)
+}
--- a/internal/daemon/cookie/uploads.go
+++ b/internal/daemon/cookie/uploads.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wasabideal/internal/cookie/backlog"
+	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/cookie/router"
 	"wasabideal/internal/cookie/uplink"
 	"wasabideal/internal/model/configuration"
@@ -67,7 +68,7 @@
 // wait lets an upload's opening wait for room on the link, if not too many do.
 func (b *Balancer) wait(now time.Time, k router.Flow, p router.Packet, data []byte) router.Verdict {
 	v := router.Verdict{Action: router.Reset, Reason: router.Busy, Revision: b.router.Revision()}
-	if b.uploads.backlog.Push(now, k, earlyPacket{packet: p, data: slices.Clone(data)}) {
+	if !b.settings.Off.Has(mechanism.UploadWait) && b.uploads.backlog.Push(now, k, earlyPacket{packet: p, data: slices.Clone(data)}) {
 		v.Action, v.Reason = router.Drop, router.Waiting
 		b.uploads.awake()
 	}
