--- a/internal/control/feed/encoded.go
+++ b/internal/control/feed/encoded.go
@@ -20,11 +20,11 @@
 }
 
 // get returns the encoded answer, made anew where the key is another or it is too old.
-func (e *encoded[K]) get(now time.Time, key K, make func() any) (cbor.RawMessage, error) {
+func (e *encoded[K]) get(now time.Time, key K, build func() any) (cbor.RawMessage, error) {
 	if e.body != nil && e.key == key && now.Sub(e.at) < encodedFor {
 		return e.body, nil
 	}
-	body, err := cbor.Marshal(make())
+	body, err := cbor.Marshal(build())
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/control/voter/effects.go
@@ -0,0 +1,90 @@
+package voter
+
+import (
+	"wasabideal/internal/control/agreement"
+)
+
+// carryOut does what the reducer asked for, in its order: nothing that follows
+// a failed write is done, so no promise rests on it.
+func (v *Voter) carryOut(effects []agreement.Effect) {
+	for _, x := range effects {
+		switch {
+		case x.Send != nil:
+			v.send(*x.Send)
+		case x.Persist != nil:
+			begun := v.settings.Clock()
+			err := v.wal.Write(*x.Persist)
+			v.counts.syncing.Record(v.settings.Clock().Sub(begun))
+			if err != nil {
+				v.counts.failedWrites.Inc(1)
+				v.log.Error("voter is read-only now", "Error", err)
+				v.failedAt = v.settings.Clock()
+				v.events = append(v.events, agreement.Event{DiskFailed: true})
+				return
+			}
+			v.afterSync(*x.Persist)
+		case x.Apply != nil:
+			v.apply(*x.Apply)
+		case x.Restore != nil:
+			v.restore(*x.Restore)
+		}
+	}
+}
+
+func (v *Voter) afterSync(p agreement.Persist) {
+	for _, m := range p.Then {
+		v.send(m)
+	}
+	last := uint64(0)
+	if p.Snapshot != nil {
+		last = p.Snapshot.Index
+	}
+	if n := len(p.Entries); n > 0 {
+		last = p.Entries[n-1].Index
+	}
+	if last > 0 {
+		v.events = append(v.events, agreement.Event{Persisted: last})
+	}
+}
+
+func (v *Voter) apply(e agreement.Entry) {
+	w, waited := v.waiting[e.Index]
+	delete(v.waiting, e.Index)
+	if e.Kind != agreement.Command {
+		return
+	}
+	_, answer, record := v.ledger.Apply(e.Data)
+	v.publish()
+	v.counts.applied.Inc(1)
+	if !v.replaying {
+		v.log.Info("change applied", "Index", e.Index, "Verdict", answer.Verdict, "Revision", answer.Revision)
+	}
+	if record != nil {
+		v.trail.Write(e.Index, *record)
+	}
+	// Another term's entry in the same place is not the change waited for.
+	if waited && w.term == e.Term {
+		w.answer <- answer
+	}
+}
+
+func (v *Voter) restore(s agreement.Snapshot) {
+	if err := v.ledger.Restore(s.Data); err != nil {
+		v.log.Error("snapshot of the leader cannot be read", "Error", err)
+		v.events = append(v.events, agreement.Event{DiskFailed: true})
+		return
+	}
+	v.publish()
+}
+
+func (v *Voter) compactIfLong() {
+	if v.agreement.Status(v.settings.Clock()).Kept < v.settings.CompactAfter {
+		return
+	}
+	data, err := v.ledger.Snapshot()
+	if err != nil {
+		v.log.Error("snapshot failed", "Error", err)
+		return
+	}
+	v.carryOut(v.agreement.Reduce(v.settings.Clock(), agreement.Event{Compact: data}))
+}
--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -5,7 +5,7 @@
 
 	"github.com/samber/lo"
 
-	"wasabideal/internal/cookie/response"
+	"wasabideal/internal/overload/response"
 )
 
 const (
--- /dev/null
+++ b/internal/cookie/router/place.go
@@ -0,0 +1,78 @@
+package router
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wasabideal/internal/cookie/mechanism"
+	"wasabideal/internal/model/configuration"
+)
+
+// place decides where a new flow goes. A copy goes where the first packet went:
+// a second upstream that answers later would draw the caller's packets to a
+// flow that is not open there.
+func (r *Router) place(now time.Time, p Packet) Verdict {
+	if r.revision == 0 {
+		return Verdict{Action: Drop, Reason: Unconfigured}
+	}
+	route, ok := r.routes[p.Address]
+	if !ok {
+		return Verdict{Action: Reset, Reason: NoRoute, Revision: r.revision}
+	}
+	k := p.Flow()
+	if f := r.flows[k]; f != nil {
+		if f.opening {
+			r.missed(now, p.Address, f)
+		}
+		if !f.target.Ended {
+			return r.forward(f.target, Repeated)
+		}
+		r.forget(k, f)
+	}
+	return r.placeNew(now, k, route)
+}
+
+// placeNew decides where a flow goes whose opening was not seen before.
+func (r *Router) placeNew(now time.Time, k Flow, route configuration.Route) Verdict {
+	number := k.number()
+	service := pick(route.Backends(), number)
+	settled := now.Sub(r.drawn) >= settleFor || r.settings.Off.Has(mechanism.Settling)
+	if v, refused := r.refuses(now, service, route, number); refused && settled {
+		return v
+	}
+	t := r.choose(now, service, route.Class)
+	if t == nil && !settled {
+		return Verdict{Action: Drop, Reason: NoUpstream, Revision: r.revision}
+	}
+	if t == nil {
+		return Verdict{Action: Reset, Reason: NoUpstream, Revision: r.revision}
+	}
+	r.open(now, k, t)
+	return r.forward(t, Placed)
+}
+
+// number spreads flows over the backends of a split route.
+func (k Flow) number() uint64 {
+	b := k.Caller.Addr().As4()
+	return xxhash.Sum64(append(b[:], byte(k.Caller.Port()>>8), byte(k.Caller.Port())))
+}
+
+// missed notes an opening or a request that had to be repeated. Where nothing was heard of the other zone since, the zone is
+// suspected with it: a zone that is cut off would otherwise cost an opening for
+// each of its upstreams, again and again.
+func (r *Router) missed(now time.Time, address netip.AddrPort, f *flow) {
+	f.repeated = true
+	r.unanswered(now, address, f)
+	t := f.target
+	if r.settings.Off.Has(mechanism.Suspicion) || !t.missed(now, f.sent) {
+		return
+	}
+	if t.Zone != r.settings.Zone && !r.settings.Off.Has(mechanism.ZoneSuspicion) {
+		t.zone.missed(now, f.sent)
+	}
+	if r.settings.Suspected != nil {
+		r.settings.Suspected(t.Target)
+	}
+}
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"wasabideal/internal/cookie/admission"
 	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/overload/admission"
 )
 
 // service is what the upstreams of one service have in common.
--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"wasabideal/internal/cookie/response"
 	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/overload/response"
 	"wasabideal/internal/upstream/view"
 )
 
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -17,9 +15,9 @@
 	"wasabideal/internal/cookie/follower"
 	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/cookie/router"
-	"wasabideal/internal/cookie/uplink"
-	"wasabideal/internal/cookie/waiting"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/overload/uplink"
+	"wasabideal/internal/overload/waiting"
 	"wasabideal/internal/silence/doubts"
 	"wasabideal/internal/silence/word"
 	"wasabideal/internal/upstream/view"
@@ -247,91 +245,3 @@
 		}
 	}
 }
-
-// read takes datagrams in batches and decides on each batch under one lock.
-func (b *Balancer) read() {
-	for {
-		n, err := b.socket.Read()
-		if b.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			// The kernel may report what befell an earlier datagram; a balancer
-			// that stopped reading for it would stay in rotation and serve nothing.
-			b.log.Error("datagrams cannot be read", "Error", err)
-			time.Sleep(readPause)
-			continue
-		}
-		b.mu.Lock()
-		now := b.settings.Clock()
-		b.lastPacket = now
-		b.used = 0
-		for i := range n {
-			_, data := b.socket.Datagram(i)
-			b.handle(now, data)
-		}
-		if err := b.socket.Flush(); err != nil {
-			b.sendFailed(err)
-		}
-		b.placeCrowded(now)
-		b.tellVoters()
-		b.mu.Unlock()
-	}
-}
-
-func (b *Balancer) handle(now time.Time, data []byte) {
-	p, err := b.settings.Codec.Decode(data)
-	if err != nil {
-		b.counts.malformed.Inc(1)
-		b.reports.malformed(err)
-		return
-	}
-	if b.crowded.Len() > 0 {
-		// The copy that waits would look like a repetition, and so like silence.
-		b.crowded.Remove(earlyPacket{packet: p}.key())
-	}
-	b.carryOut(now, now, p, data)
-}
-
-// carryOut decides on a packet that arrived at a time, and does it.
-func (b *Balancer) carryOut(now, arrived time.Time, p router.Packet, data []byte) {
-	v := b.decide(now, p, data)
-	if v.Action == router.Drop && v.Reason.Early() && !b.settings.Off.Has(mechanism.KeptPackets) {
-		b.keep(now, arrived, p, data)
-	}
-	b.perform(now, p, data, v)
-}
-
-// perform does what was decided on a packet.
-func (b *Balancer) perform(now time.Time, p router.Packet, data []byte, v router.Verdict) {
-	b.counts.decisions[v.Reason].Inc(1)
-	b.reports.note(b.log, p, v)
-	switch v.Action {
-	case router.Forward:
-		if b.delayed(now, p, v, data) {
-			return
-		}
-		*b.buffer() = b.settings.Codec.Forward((*b.buffer())[:0], data, v)
-		b.socket.Queue(v.To, *b.buffer())
-		b.used++
-	case router.Reset:
-		to, out := b.settings.Codec.Reset((*b.buffer())[:0], p)
-		*b.buffer() = out
-		b.socket.Queue(to, out)
-		b.used++
-	case router.Drop:
-	}
-}
-
-func (b *Balancer) sendFailed(err error) {
-	b.counts.sendErrors.Inc(1)
-	b.reports.lost(err)
-}
-
-// buffer returns the next free one of this batch.
-func (b *Balancer) buffer() *[]byte {
-	if b.used == len(b.buffers) {
-		b.buffers = append(b.buffers, make([]byte, 0, datagram.Size+forwardHead))
-	}
-	return &b.buffers[b.used]
-}
--- a/internal/daemon/cookie/uploads.go
+++ b/internal/daemon/cookie/uploads.go
@@ -5,11 +5,11 @@
 	"slices"
 	"time"
 
-	"wasabideal/internal/cookie/backlog"
 	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/cookie/router"
-	"wasabideal/internal/cookie/uplink"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/overload/backlog"
+	"wasabideal/internal/overload/uplink"
 )
 
 // packetOverhead is what a forwarded packet takes on the link beside its data:
--- a/internal/cookie/admission/admission_test.go
+++ b/internal/overload/admission/admission_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"wasabideal/internal/cookie/admission"
+	"wasabideal/internal/overload/admission"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/cookie/backlog/backlog_test.go
+++ b/internal/overload/backlog/backlog_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"wasabideal/internal/cookie/backlog"
-	"wasabideal/internal/cookie/uplink"
+	"wasabideal/internal/overload/backlog"
+	"wasabideal/internal/overload/uplink"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/cookie/response/response_test.go
+++ b/internal/overload/response/response_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"wasabideal/internal/cookie/response"
+	"wasabideal/internal/overload/response"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/cookie/uplink/uplink_test.go
+++ b/internal/overload/uplink/uplink_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"wasabideal/internal/cookie/uplink"
+	"wasabideal/internal/overload/uplink"
 )
 
 const (
