--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -49,8 +49,10 @@
 	// drawn is when the upstreams were first told.
 	drawn  time.Time
 	losses losses
-	// reports are what voters must be told.
-	reports []word.Event
+	// reports are what voters must be told, mayReport how many packets without an
+	// answer may be added.
+	reports   []word.Event
+	mayReport int
 	// turn moves on with each choice, so that equal upstreams take turns.
 	turn int
 }
@@ -61,7 +63,7 @@
 // New returns a router that drops everything until it is configured.
 func New(s Settings) *Router {
 	return &Router{
-		settings: s, turn: int(s.Seed % turns), routes: map[netip.AddrPort]configuration.Route{}, targets: map[uint64]*target{},
+		settings: s, mayReport: reportsMost, turn: int(s.Seed % turns), routes: map[netip.AddrPort]configuration.Route{}, targets: map[uint64]*target{},
 		cookies: map[uint32]*target{}, members: map[string][]*target{}, pools: map[string][]*target{}, flows: map[Flow]*flow{},
 		zones: map[string]*zone{}, services: map[string]*service{}, urgent: map[string]int{},
 	}
--- a/internal/cookie/router/silence.go
+++ b/internal/cookie/router/silence.go
@@ -32,8 +32,11 @@
 	recentLeast  = 0.2
 	// aroundLeast is how many upstreams of the own zone a comparison needs.
 	aroundLeast = 3
-	// reportsMost bounds what waits to be reported.
-	reportsMost = 256
+	// reportsMost is how many packets without an answer may be reported at once, and
+	// reportsEach how many more with each tick: 40 a second of 40 bytes are 1.6 kB to
+	// each voter, and some of all balancers' suffice.
+	reportsMost = 64
+	reportsEach = 4
 )
 
 // doubt is what voters say of one upstream, or of a zone.
@@ -71,6 +74,7 @@
 // where most of them leave packets unanswered at the same time, the way there is bad and
 // not each of them.
 func (r *Router) measureLosses() {
+	r.mayReport = min(r.mayReport+reportsEach, reportsMost)
 	r.losses.answered *= lossMemory
 	r.losses.repeated *= lossMemory
 	used, leaving := 0, 0
@@ -118,7 +122,7 @@
 
 // report adds an event for the voters.
 func (r *Router) report(e word.Event) {
-	if !r.settings.Off.Has(mechanism.SharedSilence) && len(r.reports) < reportsMost {
+	if !r.settings.Off.Has(mechanism.SharedSilence) {
 		r.reports = append(r.reports, e)
 	}
 }
@@ -155,6 +159,10 @@
 	}
 	f.reported = true
 	t.recent.missed++
+	if t.unresponsive() || r.mayReport == 0 {
+		return
+	}
+	r.mayReport--
 	r.report(word.Event{
 		Incarnation: t.Incarnation, Born: t.Born, Zone: t.Zone, Age: now.Sub(f.sent), Weight: r.weight(now, t, now.Sub(f.sent)),
 	})
--- a/internal/cookie/router/silence_test.go
+++ b/internal/cookie/router/silence_test.go
@@ -366,3 +366,22 @@
 		require.NotZero(t, s.asked)
 	}
 }
+
+// A storm of packets without an answer must not fill the links to voters.
+func TestReportsAreBounded(t *testing.T) {
+	r := newRouter(t, target(1, "orders", "a"))
+	for n := range 500 {
+		r.Route(epoch, opening(n))
+	}
+	later := epoch.Add(300 * time.Millisecond)
+	for n := range 500 {
+		r.Route(later, opening(n))
+	}
+	require.Len(t, r.Reports(), 64)
+	r.Tick(later)
+	for n := range 500 {
+		r.Route(later.Add(time.Millisecond), opening(1000+n))
+		r.Route(later.Add(300*time.Millisecond), opening(1000+n))
+	}
+	require.Len(t, r.Reports(), 4)
+}
--- a/internal/silence/accrual/accrual.go
+++ b/internal/silence/accrual/accrual.go
@@ -30,6 +30,9 @@
 	// Its announcements are overdue then if it is gone, and balancers try it again if
 	// not.
 	unresponsiveFor = 2500 * time.Millisecond
+	// doubtsMost bounds the subjects that balancers are told of at once, 25 bytes each.
+	// Zones come first, so that those of a whole zone are among them.
+	doubtsMost = 64
 	// eventsMost bounds the events kept of one subject; more add nothing.
 	eventsMost = 32
 )
@@ -205,7 +208,7 @@
 	return len(seen)
 }
 
-// Doubts returns the subjects in doubt, in order.
+// Doubts returns the subjects in doubt, zones first.
 func (a *Accrual) Doubts(now time.Time) []word.Doubt {
 	var out []word.Doubt
 	for s, r := range a.records {
@@ -214,7 +217,7 @@
 		}
 	}
 	slices.SortFunc(out, func(x, y word.Doubt) int {
-		return cmp.Or(cmp.Compare(x.Zone, y.Zone), cmp.Compare(x.Incarnation, y.Incarnation), cmp.Compare(x.Born, y.Born))
+		return cmp.Or(cmp.Compare(y.Zone, x.Zone), cmp.Compare(x.Incarnation, y.Incarnation), cmp.Compare(x.Born, y.Born))
 	})
-	return out
+	return out[:min(len(out), doubtsMost)]
 }
