--- a/internal/cookie/mechanism/mechanism.go
+++ b/internal/cookie/mechanism/mechanism.go
@@ -21,8 +21,6 @@
 	OwnZone
 	// Suspicion keeps new flows from upstreams that left a packet unanswered here.
 	Suspicion
-	// ZoneSuspicion suspects a whole zone with one of its upstreams.
-	ZoneSuspicion
 	// ColdShare gives upstreams less that have just started.
 	ColdShare
 	// Settling refuses nothing for a while after a start.
@@ -40,7 +38,7 @@
 )
 
 var names = [...]string{
-	"Admission", "Slowness", "OwnZone", "Suspicion", "ZoneSuspicion", "ColdShare", "Settling", "SharedSilence",
+	"Admission", "Slowness", "OwnZone", "Suspicion", "ColdShare", "Settling", "SharedSilence",
 	"KeptPackets", "RoomAfterStart", "UploadWait", "Pacing",
 }
 
--- a/internal/cookie/router/place.go
+++ b/internal/cookie/router/place.go
@@ -59,9 +59,8 @@
 	return xxhash.Sum64(append(b[:], byte(k.Caller.Port()>>8), byte(k.Caller.Port())))
 }
 
-// missed notes an opening or a request that had to be repeated. Where nothing was heard of the other zone since, the zone is
-// suspected with it: a zone that is cut off would otherwise cost an opening for
-// each of its upstreams, again and again.
+// missed notes an opening or a request that had to be repeated. What it says of the
+// upstream here keeps new flows away also where no voter answers.
 func (r *Router) missed(now time.Time, address netip.AddrPort, f *flow) {
 	f.repeated = true
 	r.unanswered(now, address, f)
@@ -69,9 +68,6 @@
 	if r.settings.Off.Has(mechanism.Suspicion) || !t.missed(now, f.sent) {
 		return
 	}
-	if t.Zone != r.settings.Zone && !r.settings.Off.Has(mechanism.ZoneSuspicion) {
-		t.zone.missed(now, f.sent)
-	}
 	if r.settings.Suspected != nil {
 		r.settings.Suspected(t.Target)
 	}
--- a/internal/cookie/router/router_test.go
+++ b/internal/cookie/router/router_test.go
@@ -11,6 +11,8 @@
 	"wasabideal/internal/cookie/router"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/silence/doubts"
+	"wasabideal/internal/silence/word"
 	"wasabideal/internal/upstream/view"
 )
 
@@ -194,7 +196,7 @@
 // Events: a zone is cut off; the load spills to upstreams of other zones; each
 // of them is tried, and tried again when its suspicion has ended.
 // Cause: each upstream was suspected by itself.
-func TestZoneThatIsCutOffIsSuspectedAsAWhole(t *testing.T) {
+func TestZoneThatIsCutOffIsDoubtedAsAWhole(t *testing.T) {
 	r := newRouter(t, target(1, "orders", "a"), target(2, "orders", "b"), target(3, "orders", "b"), target(4, "orders", "c"))
 	far := router.Packet{Caller: caller(1), Address: orders, Cookie: router.Cookie(2, 0), Sequence: 100, Acknowledged: 50}
 	r.Route(epoch, far)
@@ -202,6 +204,8 @@
 	r.Route(epoch, far)
 	later := epoch.Add(200 * time.Millisecond)
 	r.Route(later, far)
+	require.Len(t, r.Reports(), 1, "voters are told with the first packet")
+	r.Doubt(later, map[word.Subject]doubts.Doubt{{Zone: "b"}: {First: epoch}})
 	for n := range 20 {
 		v := r.Route(later, opening(10+n))
 		require.NotContains(t, []uint64{2, 3}, v.Incarnation)
@@ -210,11 +214,12 @@
 	r.Route(later, alive)
 	alive.Acknowledged = 100
 	r.Route(later, alive)
+	require.True(t, r.Reports()[0].Answered, "a sign of life is reported")
 	counts := map[uint64]int{}
 	for n := range 20 {
 		counts[r.Route(later, opening(100+n)).Incarnation]++
 	}
-	require.NotZero(t, counts[3], "an answer from the zone ends its suspicion")
+	require.NotZero(t, counts[3], "an answer from the zone ends its doubt")
 	require.Zero(t, counts[2], "but not that of the upstream")
 }
 
--- a/internal/cookie/router/silence.go
+++ b/internal/cookie/router/silence.go
@@ -99,7 +99,8 @@
 
 // zone is what the upstreams of one availability zone have in common.
 type zone struct {
-	suspicion
+	// alive is the last sign of life of any of them.
+	alive time.Time
 	doubt *doubt
 }
 
@@ -171,7 +172,7 @@
 // sawLife notes an answer of an upstream, and reports it where voters doubt one.
 func (r *Router) sawLife(now time.Time, t *target) {
 	t.sawLife(now)
-	t.zone.sawLife(now)
+	t.zone.alive = now
 	r.answerDoubts(now, t)
 }
 
--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -59,7 +59,7 @@
 	since  time.Time
 }
 
-// suspicion is what missing answers say of an upstream, or of a whole zone.
+// suspicion is what missing answers say of an upstream.
 type suspicion struct {
 	// alive is the last sign of life.
 	alive time.Time
@@ -67,7 +67,7 @@
 	span  time.Duration
 }
 
-func (s *suspicion) suspected(now time.Time) bool { return s != nil && now.Before(s.until) }
+func (s *suspicion) suspected(now time.Time) bool { return now.Before(s.until) }
 
 // sawLife notes an answer.
 func (s *suspicion) sawLife(now time.Time) {
