--- a/internal/cookie/router/place.go
+++ b/internal/cookie/router/place.go
@@ -49,6 +49,10 @@
 	if t == nil {
 		return Verdict{Action: Reset, Reason: NoUpstream, Revision: r.revision}
 	}
+	if t.unresponsive() {
+		// All others are, too: the caller would wait for its opening to be given up.
+		return Verdict{Action: Reset, Reason: Unresponsive, Incarnation: t.Incarnation, Revision: r.revision, Sequence: t.Sequence}
+	}
 	r.open(now, k, t)
 	return r.forward(t, Placed)
 }
--- a/internal/cookie/router/silence_test.go
+++ b/internal/cookie/router/silence_test.go
@@ -385,3 +385,18 @@
 	}
 	require.Len(t, r.Reports(), 4)
 }
+
+// Symptom: callers in a zone that was cut off waited up to 0.8 s for a refusal.
+// Events: no upstream of a service is left on their side of the cut; those on the other
+// are unresponsive.
+// Cause: openings were sent to one of these, and reset with the voters' next answer.
+func TestFlowThatNoUpstreamCanServeIsRefusedAtOnce(t *testing.T) {
+	r := newRouter(t, target(1, "orders", "b"), target(2, "orders", "b"))
+	silent := map[word.Subject]doubts.Doubt{{Zone: "b"}: {First: epoch, Unresponsive: true}}
+	r.Doubt(epoch.Add(time.Second), silent)
+	v := r.Route(epoch.Add(time.Second), opening(1))
+	require.Equal(t, router.Reset, v.Action)
+	require.Equal(t, router.Unresponsive, v.Reason)
+	r.Doubt(epoch.Add(2*time.Second), nil)
+	require.Equal(t, router.Placed, r.Route(epoch.Add(2*time.Second), opening(1)).Reason)
+}
