--- a/internal/model/upstream/wire_test.go
+++ b/internal/model/upstream/wire_test.go
@@ -44,3 +44,24 @@
 		require.Error(t, u.UnmarshalCBOR(b), data)
 	}
 }
+
+// FuzzUnmarshal holds that what voters and disks pass on is read as it was written, and
+// that nothing else ends a process.
+func FuzzUnmarshal(f *testing.F) {
+	for _, seed := range []string{"88616146010203040500076060020000", "8961614601020304050007606002000005", "80", "9fff"} {
+		data, err := hex.DecodeString(seed)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var u upstream.Upstream
+		if u.UnmarshalCBOR(data) != nil {
+			return
+		}
+		written, err := u.MarshalCBOR()
+		require.NoError(t, err)
+		var again upstream.Upstream
+		require.NoError(t, again.UnmarshalCBOR(written))
+		require.Equal(t, u, again)
+	})
+}
