--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -31,8 +31,8 @@
 const gather = 100 * time.Millisecond
 
 // configurationMost is the size in bytes up to which a configuration goes along with
-// news, that of about 80 routes: three of them, compressed, take 40 ms on a link of
-// 2 Mbit/s.
+// news, that of about 80 routes: worked out, three of them, compressed to half, take 50 ms on a
+// link of 2 Mbit/s.
 const configurationMost = 8 << 10
 
 // deltasMost is how many changes a balancer may miss and still get deltas; the
--- a/internal/cookie/follower/reporter.go
+++ b/internal/cookie/follower/reporter.go
@@ -15,7 +15,7 @@
 
 const (
 	// reportEvery is the least time between two reports to a voter: evidence of some
-	// upstreams comes together, and each report costs a voter 0.1 ms.
+	// upstreams comes together.
 	reportEvery = 20 * time.Millisecond
 	// reportTimeout bounds one report. Later, its evidence is worth nothing.
 	reportTimeout = 300 * time.Millisecond
--- a/internal/cookie/follower/retry.go
+++ b/internal/cookie/follower/retry.go
@@ -1,14 +1,17 @@
 package follower
 
-import "time"
+import (
+	"time"
+
+	"wasabideal/internal/wire/rpc"
+)
 
 const (
-	// retryAfter is the pause after a failed call, retryMost its longest, and dialUsual
-	// the time for a connection, while another voter answers.
+	// retryAfter is the pause after a failed call and retryMost its longest, while
+	// another voter answers.
 	retryAfter = 25 * time.Millisecond
 	retryMost  = 200 * time.Millisecond
-	dialUsual  = 100 * time.Millisecond
-	// retryAlone and dialAlone are the same while no voter answers at all: after a loss
+	// retryAlone is the pause and dialAlone the time for a connection while no voter answers at all: after a loss
 	// of power everywhere each ms until the first answer costs the requests of one.
 	// Voters are back at an unknown moment, and a connection that is asked for before
 	// hangs until its time is over. Balancers were ready 67 ms after the first voter's
@@ -27,5 +30,5 @@
 		return retryAlone, dialAlone
 	}
 	r.last = min(max(2*r.last, retryAfter), retryMost)
-	return r.last, dialUsual
+	return r.last, rpc.DialTimeout
 }
--- a/internal/cookie/follower/retry_test.go
+++ b/internal/cookie/follower/retry_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/wire/rpc"
 )
 
 // Symptom: balancers were ready up to 0.2 s after the first voter answered others.
@@ -21,7 +23,7 @@
 	var pauses []time.Duration
 	for range 5 {
 		pause, dial := r.next(false)
-		require.Equal(t, dialUsual, dial)
+		require.Equal(t, rpc.DialTimeout, dial)
 		pauses = append(pauses, pause)
 	}
 	require.Equal(t, []time.Duration{retryAfter, 2 * retryAfter, 4 * retryAfter, retryMost, retryMost}, pauses)
--- a/internal/cookie/router/choose.go
+++ b/internal/cookie/router/choose.go
@@ -100,7 +100,7 @@
 // earlyMost is the number of requests and openings under way at one upstream, as seen
 // here, beyond which packets that were kept wait on. After a loss of power everywhere
 // each of some balancers holds an equal share of them, and an upstream has room for ten:
-// all at once, 200 of 28,000 requests found a queue full, refused at once and three
+// all at once, 230 of 28,000 requests found a queue full, refused at once and three
 // times in a row; as room comes, 25.
 const earlyMost = 1
 
--- a/internal/cookie/router/place.go
+++ b/internal/cookie/router/place.go
@@ -51,7 +51,7 @@
 	}
 	if t.unresponsive() {
 		// All others are, too: the caller would wait for its opening to be given up.
-		return Verdict{Action: Reset, Reason: Unresponsive, Incarnation: t.Incarnation, Revision: r.revision, Sequence: t.Sequence}
+		return r.reset(t, Unresponsive)
 	}
 	r.open(now, k, t)
 	return r.forward(t, Placed)
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -120,7 +120,7 @@
 		return Verdict{Action: Drop, Reason: UnknownCookie}
 	}
 	if t.Ended {
-		v := Verdict{Action: Reset, Reason: Ended, Incarnation: t.Incarnation, Revision: r.revision, Sequence: t.Sequence}
+		v := r.reset(t, Ended)
 		if p.Reset {
 			v.Action = Drop
 		}
@@ -130,12 +130,17 @@
 		if f := r.flows[p.Flow()]; f != nil {
 			r.forget(p.Flow(), f)
 		}
-		return Verdict{Action: Reset, Reason: Unresponsive, Incarnation: t.Incarnation, Revision: r.revision, Sequence: t.Sequence}
+		return r.reset(t, Unresponsive)
 	}
 	r.note(now, p.Flow(), t, p)
 	return r.forward(t, Known)
 }
 
+// reset returns the verdict that ends a flow for what is known of its upstream.
+func (r *Router) reset(t *target, why Reason) Verdict {
+	return Verdict{Action: Reset, Reason: why, Incarnation: t.Incarnation, Revision: r.revision, Sequence: t.Sequence}
+}
+
 func (r *Router) forward(t *target, why Reason) Verdict {
 	return Verdict{
 		Action: Forward, Reason: why, To: t.Address, Incarnation: t.Incarnation, Cookie: t.cookie, Revision: r.revision,
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -215,7 +215,7 @@
 		b.log.Info("readiness", "Ready", ready, "Revision", b.held.Revision, "Upstreams", b.router.Upstreams())
 	}
 	// After readiness, so that whoever sees a placed packet sees that, too.
-	b.placeEarly(now)
+	b.placeKept(now, b.early)
 }
 
 func (b *Balancer) suspected(t view.Target) {
@@ -236,7 +236,7 @@
 			now := b.settings.Clock()
 			b.router.Tick(now)
 			b.refresh(now)
-			b.placeCrowded(now)
+			b.placeKept(now, b.crowded)
 			if b.doubts.Expired(now) {
 				b.doubt(now)
 			}
--- a/internal/daemon/cookie/early.go
+++ b/internal/daemon/cookie/early.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wasabideal/internal/cookie/router"
+	"wasabideal/internal/overload/waiting"
 )
 
 // earlyKey tells packets apart that are worth keeping beside each other: a
@@ -30,26 +31,14 @@
 	b.early.Keep(now, arrived, e.key(), e)
 }
 
-// placeEarly tries to place the packets kept; the lock is held.
-func (b *Balancer) placeEarly(now time.Time) {
-	if b.early.Len() == 0 {
+// placeKept tries to place packets that were kept: early ones once more is known, and
+// those that wait for room at their upstream as there is some; the lock is held.
+func (b *Balancer) placeKept(now time.Time, kept *waiting.Waiting[earlyKey, earlyPacket]) {
+	if kept.Len() == 0 {
 		return
 	}
 	b.used = 0
-	b.early.Take(now, func(arrived time.Time, e earlyPacket) { b.placeOrWait(now, arrived, e) })
-	if err := b.socket.Flush(); err != nil {
-		b.sendFailed(err)
-	}
-}
-
-// placeCrowded places the packets that waited for room at their upstream, as far as there
-// is some; the lock is held.
-func (b *Balancer) placeCrowded(now time.Time) {
-	if b.crowded.Len() == 0 {
-		return
-	}
-	b.used = 0
-	b.crowded.Take(now, func(arrived time.Time, e earlyPacket) { b.placeOrWait(now, arrived, e) })
+	kept.Take(now, func(arrived time.Time, e earlyPacket) { b.placeOrWait(now, arrived, e) })
 	if err := b.socket.Flush(); err != nil {
 		b.sendFailed(err)
 	}
--- a/internal/daemon/cookie/packets.go
+++ b/internal/daemon/cookie/packets.go
@@ -35,7 +35,7 @@
 		if err := b.socket.Flush(); err != nil {
 			b.sendFailed(err)
 		}
-		b.placeCrowded(now)
+		b.placeKept(now, b.crowded)
 		b.tellVoters()
 		b.mu.Unlock()
 	}
--- a/internal/model/upstream/wire.go
+++ b/internal/model/upstream/wire.go
@@ -17,17 +17,8 @@
 	State    State
 }
 
-// wireBorn is the same with the start, which earlier versions did not know.
-type wireBorn struct {
-	_ struct{} `cbor:",toarray"`
-	Identity
-	Zone     string
-	Door     string
-	Slots    uint16
-	Sequence uint64
-	State    State
-	Born     uint64
-}
+// wireBorn is the whole upstream, with the start that earlier versions did not know.
+type wireBorn Upstream
 
 // fieldsWithBorn is the number of fields of wireBorn, with those of the identity.
 const fieldsWithBorn = 9
@@ -43,9 +34,7 @@
 			Identity: u.Identity, Zone: u.Zone, Door: u.Door, Slots: u.Slots, Sequence: u.Sequence, State: u.State,
 		})
 	}
-	return cbor.Marshal(wireBorn{
-		Identity: u.Identity, Zone: u.Zone, Door: u.Door, Slots: u.Slots, Sequence: u.Sequence, State: u.State, Born: u.Born,
-	})
+	return cbor.Marshal(wireBorn(u))
 }
 
 // UnmarshalCBOR reads either form.
@@ -55,9 +44,7 @@
 		if err := cbor.Unmarshal(data, &w); err != nil {
 			return fmt.Errorf("decode upstream: %w", err)
 		}
-		*u = Upstream{
-			Identity: w.Identity, Zone: w.Zone, Door: w.Door, Slots: w.Slots, Sequence: w.Sequence, State: w.State, Born: w.Born,
-		}
+		*u = Upstream(w)
 		return nil
 	}
 	var w wireUpstream
--- a/internal/silence/accrual/accrual.go
+++ b/internal/silence/accrual/accrual.go
@@ -25,7 +25,7 @@
 	// further ones need, as a share of it, and alarmMost the most. On links of 2 Mbit/s
 	// that uploads fill packets are repeated all the time; each doubt asks all balancers
 	// for signs of life, and their answers took room from the uploads: 0.4 % of the
-	// requests of 71 balancers were not served, 0.1 % without doubts. alarmMemory is how
+	// requests of 71 balancers were not served, 0.06 % without doubts. alarmMemory is how
 	// long an answered doubt counts.
 	alarmStep   = 0.5
 	alarmMost   = 6
--- a/internal/wire/rpc/client.go
+++ b/internal/wire/rpc/client.go
@@ -27,11 +27,11 @@
 // Unwrap returns the cause.
 func (e *LostError) Unwrap() error { return e.Cause }
 
-// dialTimeout is how long a connection may take to open. A VM without power does
+// DialTimeout is how long a connection may take to open. A VM without power does
 // not answer, and the kernel asks again after a second only: a caller that waited
 // for that missed a voter that was back after a third of a second. Connections
 // between zones open within some ms.
-const dialTimeout = 100 * time.Millisecond
+const DialTimeout = 100 * time.Millisecond
 
 // Client calls one address, one call at a time.
 //
@@ -46,7 +46,7 @@
 
 // NewClient returns a client that dials with its first call.
 func NewClient(address, token string) *Client {
-	return &Client{address: address, token: token, dialTimeout: dialTimeout}
+	return &Client{address: address, token: token, dialTimeout: DialTimeout}
 }
 
 // SetDialTimeout changes how long a connection may take to open, from the next one on.
