--- a/internal/control/feed/answer.go
+++ b/internal/control/feed/answer.go
@@ -112,8 +112,9 @@
 	now := f.clock()
 	a := Answer{
 		Revision: f.history.Current().Revision, Life: f.life, Version: f.directory.Version(), Members: f.members,
-		Doubts: f.silence.Doubts(now), DoubtsVersion: f.silence.Version(),
+		Doubts: f.silence.Doubts(now), DoubtsVersion: f.silence.Version(), Zone: f.zone,
 	}
+	f.tellFleet(now, q, &a)
 	if q.From != "" {
 		f.asked[q.From] = now
 	}
--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -9,11 +9,14 @@
 	"github.com/samber/lo"
 
 	"wasabideal/internal/configuration/history"
+	"wasabideal/internal/fanout/member"
+	"wasabideal/internal/fanout/members"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/silence/accrual"
 	"wasabideal/internal/silence/word"
 	"wasabideal/internal/upstream/directory"
+	"wasabideal/internal/upstream/handover"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -30,6 +33,11 @@
 // is most of a voter's work; a tenth of a second later costs callers nothing.
 const gather = 100 * time.Millisecond
 
+// newsMost is how many answers with news of upstreams a voter gives in a second: each costs
+// it 0.1 ms, a third of it on a quarter of a core where 40 balancers are told ten times a
+// second. Where more ask, news are gathered for longer.
+const newsMost = 200
+
 // configurationMost is the size in bytes up to which a configuration goes along with
 // news, that of about 80 routes: worked out, three of them, compressed to half, take 50 ms on a
 // link of 2 Mbit/s.
@@ -62,6 +70,10 @@
 	From string
 	// Doubts is the version of the doubts that the balancer heard last.
 	Doubts uint64
+	// Self is the balancer that asks, where others may follow it.
+	Self *member.Member `cbor:",omitempty"`
+	// Fleet is the version of the list of balancers that it heard last from this life.
+	Fleet uint64
 }
 
 // Answer brings a balancer up to date.
@@ -82,6 +94,12 @@
 	// DoubtsVersion rises with changes.
 	Doubts        []word.Doubt
 	DoubtsVersion uint64
+	// Zone is the voter's availability zone.
+	Zone string
+	// Fleet are the balancers of the zone of the one that asks, nil where it was told
+	// before, and FleetVersion rises with changes.
+	Fleet        []member.Member `cbor:",omitempty"`
+	FleetVersion uint64
 }
 
 // Feed is what one voter tells balancers; it is safe for concurrent use.
@@ -104,6 +122,9 @@
 	weighing bool
 	// asked is when each balancer last asked for news.
 	asked map[string]time.Time
+	// zone is the voter's own; fleet are the balancers that ask, or follow those.
+	zone  string
+	fleet *members.Members
 	// notices and configuration are answers that many balancers get at a start.
 	notices       encoded[wholeKey]
 	configuration encoded[configurationKey]
@@ -122,6 +143,7 @@
 func New(life uint64, d *directory.Directory, clock func() time.Time) *Feed {
 	return &Feed{
 		life: life, clock: clock, directory: d, changed: make(chan struct{}), silence: accrual.New(), asked: map[string]time.Time{},
+		fleet: members.New(),
 	}
 }
 
@@ -132,6 +154,7 @@
 		return f.encodedConfiguration(revision)
 	})
 	f.serveReports(r, token)
+	f.serveFleet(r, token)
 }
 
 // Publish tells of a configuration; one that is not newer is ignored.
@@ -162,14 +185,19 @@
 // Announce notes an upstream's announcement, and reports whether it is news to
 // others, and whether it answers a doubt.
 func (f *Feed) Announce(now time.Time, u upstream.Upstream, cold time.Duration) (news, answers bool) {
+	return f.HandedOver(now, handover.Announcement{Upstream: u, Cold: cold})
+}
+
+// HandedOver notes one that a balancer took some time ago.
+func (f *Feed) HandedOver(now time.Time, a handover.Announcement) (news, answers bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	news, newer := f.directory.Announce(now, u, cold)
+	news, newer := f.directory.Announce(now.Add(-a.Age), a.Upstream, a.Cold)
 	if news {
 		f.pending = true
 		f.tell(now)
 	}
-	return news, newer && u.State != upstream.Withdrawn && f.heard(now, u)
+	return news, newer && a.Upstream.State != upstream.Withdrawn && f.heard(now, a)
 }
 
 // Recall takes an upstream that another voter heard before this one restarted.
@@ -182,7 +210,7 @@
 // tell wakes balancers for news of upstreams, unless it did so just before; Tick
 // makes up for it.
 func (f *Feed) tell(now time.Time) {
-	if f.pending && now.Sub(f.told) >= gather {
+	if f.pending && now.Sub(f.told) >= max(gather, time.Duration(len(f.asked))*time.Second/newsMost) {
 		f.told, f.pending = now, false
 		f.wake()
 	}
@@ -193,6 +221,7 @@
 func (f *Feed) Tick(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.fleet.Tick(now)
 	f.pending = f.directory.Tick(now) || f.pending
 	f.tell(now)
 	f.weigh(now)
--- a/internal/control/feed/feed_test.go
+++ b/internal/control/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,8 @@
 
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/control/feed"
+	"wasabideal/internal/fanout/member"
+	"wasabideal/internal/fanout/members"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/silence/word"
@@ -105,3 +108,44 @@
 	require.True(t, answered, "an announcement is a sign of life that other voters do not hear")
 	require.Empty(t, (<-answers).Doubts)
 }
+
+func asks(address, zone string) *member.Member { return &member.Member{Zone: zone, Address: address} }
+
+func TestBalancersAreToldOfThoseOfTheirZone(t *testing.T) {
+	f := newFeed()
+	f.SetZone("a")
+	a := f.Since(t.Context(), feed.Question{From: "b1", Self: asks("b1", "a")})
+	require.Equal(t, "a", a.Zone)
+	require.Len(t, a.Fleet, 1)
+	f.Since(t.Context(), feed.Question{From: "b2", Self: asks("b2", "b")})
+	f.Attend(epoch, []members.Attendance{{Member: *asks("b3", "a")}})
+	a = f.Since(t.Context(), feed.Question{From: "b1", Self: asks("b1", "a"), Life: a.Life, Fleet: a.FleetVersion})
+	require.Len(t, a.Fleet, 2, "one that follows another is told of by it")
+	a = f.Since(t.Context(), feed.Question{From: "b1", Self: asks("b1", "a"), Life: a.Life, Fleet: a.FleetVersion})
+	require.Empty(t, a.Fleet, "nothing is new")
+	require.Empty(t, f.Since(t.Context(), feed.Question{}).Fleet, "other voters need no list")
+}
+
+// Symptom: a voter was busy while many balancers asked it and upstreams changed.
+// Events: 60 balancers ask; an upstream changes now and then.
+// Cause: each change was told to each of them within a tenth of a second.
+func TestNewsAreGatheredLongerForMany(t *testing.T) {
+	f := newFeed()
+	for n := range 60 {
+		f.Since(t.Context(), feed.Question{From: fmt.Sprint("b", n)})
+	}
+	f.Announce(epoch, announced(1), 0)
+	answers := make(chan feed.Answer)
+	go func() {
+		answers <- f.Since(context.Background(), feed.Question{From: "b1", Life: 1, Version: 1, Hold: time.Hour})
+	}()
+	f.Announce(epoch.Add(time.Millisecond), announced(2), 0)
+	f.Tick(epoch.Add(200 * time.Millisecond))
+	select {
+	case <-answers:
+		t.Fatal("told too early")
+	case <-time.After(20 * time.Millisecond):
+	}
+	f.Tick(epoch.Add(300 * time.Millisecond))
+	require.Len(t, (<-answers).Notices, 1)
+}
--- a/internal/control/feed/silence.go
+++ b/internal/control/feed/silence.go
@@ -6,6 +6,7 @@
 
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/silence/word"
+	"wasabideal/internal/upstream/handover"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -13,6 +14,9 @@
 // unanswered, and balancers and voters of signs of life.
 const ReportMethod = "Feed.Report"
 
+// ReportsMethod is the same for what several balancers saw, passed on by one.
+const ReportsMethod = "Feed.Reports"
+
 // balancerFor is how long a balancer counts as one that listens here, after its last
 // question: longer than one question waits.
 const balancerFor = 2 * time.Second
@@ -24,6 +28,13 @@
 		f.Report(f.clock(), report)
 		return empty{}, nil
 	})
+	rpc.Handle(r, ReportsMethod, token, func(_ context.Context, reports []word.Report) (empty, error) {
+		now := f.clock()
+		for _, report := range reports {
+			f.Report(now, report)
+		}
+		return empty{}, nil
+	})
 }
 
 // Report takes what a balancer saw, or a sign of life that a voter heard.
@@ -37,8 +48,9 @@
 }
 
 // heard ends doubts in an upstream that announces itself, and says whether there were any.
-func (f *Feed) heard(now time.Time, u upstream.Upstream) bool {
-	e := Heard(u)
+func (f *Feed) heard(now time.Time, a handover.Announcement) bool {
+	e := Heard(a.Upstream)
+	e.Age = a.Age
 	if !f.silence.Questioned(e) {
 		return false
 	}
--- /dev/null
+++ b/internal/control/referral/referral_test.go
@@ -0,0 +1,83 @@
+package referral_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/control/referral"
+	"wasabideal/internal/fanout/member"
+	"wasabideal/internal/fanout/tree"
+	"wasabideal/internal/model/upstream"
+)
+
+var (
+	epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	shape = tree.Shape{Roots: 4, Fanout: 4}
+)
+
+func zone(n int) []member.Member {
+	var out []member.Member
+	for i := range n {
+		out = append(out, member.Member{
+			Zone: "a", Address: fmt.Sprintf("10.1.0.%d:7720", i+1), Announcements: fmt.Sprintf("10.1.0.%d:7721", i+1),
+		})
+	}
+	return out
+}
+
+func announced(incarnation, sequence uint64) upstream.Upstream {
+	return upstream.Upstream{Identity: upstream.Identity{Incarnation: incarnation}, Zone: "a", Sequence: sequence}
+}
+
+func TestSmallZonesKeepTheirUpstreamsAtTheVoters(t *testing.T) {
+	require.Empty(t, referral.New(shape).Choose(epoch, announced(1, 1), zone(4)))
+}
+
+func TestUpstreamsAreSpreadOverThoseBelowTheTop(t *testing.T) {
+	r, all := referral.New(shape), zone(20)
+	addresses := make([]string, len(all))
+	for i, m := range all {
+		addresses[i] = m.Address
+	}
+	top := shape.Top(addresses)
+	taken := map[string]int{}
+	for i := range uint64(160) {
+		taken[r.Choose(epoch, announced(i, 1), all)]++
+	}
+	for i, m := range all {
+		if top[addresses[i]] {
+			require.Zero(t, taken[m.Announcements])
+		} else {
+			require.InDelta(t, 10, taken[m.Announcements], 5)
+		}
+	}
+}
+
+// Symptom: an upstream lost half of its announcements.
+// Events: the balancer that it was referred to has lost power; the voter has not noticed.
+// Cause: it was referred to the same one again and again.
+func TestUpstreamThatComesBackIsReferredElsewhere(t *testing.T) {
+	r := referral.New(shape)
+	referred := map[string]bool{}
+	for sequence := range uint64(10) {
+		referred[r.Choose(epoch, announced(1, sequence), zone(20))] = true
+	}
+	require.Greater(t, len(referred), 3)
+}
+
+// Symptom: one balancer had the announcements of 190 upstreams, and its link was full.
+// Events: all voters restart, and know nine balancers of a zone so far.
+// Cause: all upstreams were referred to the only one below the top.
+func TestBalancersAreReferredAFewUpstreams(t *testing.T) {
+	r, referred := referral.New(shape), 0
+	for i := range uint64(200) {
+		if r.Choose(epoch, announced(i, 1), zone(5)) != "" {
+			referred++
+		}
+	}
+	require.Equal(t, 30, referred)
+	require.NotEmpty(t, r.Choose(epoch.Add(time.Minute), announced(1, 2), zone(5)))
+}
--- a/internal/control/upstreams/upstreams.go
+++ b/internal/control/upstreams/upstreams.go
@@ -11,14 +11,22 @@
 	"github.com/samber/lo"
 
 	"wasabideal/internal/control/feed"
+	"wasabideal/internal/control/referral"
+	"wasabideal/internal/fanout/member"
+	"wasabideal/internal/fanout/tree"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/silence/word"
+	"wasabideal/internal/upstream/handover"
+	"wasabideal/internal/upstream/home"
 	"wasabideal/internal/wire/rpc"
 )
 
 // Method is the name of the call by which voters share announcements.
 const Method = "Upstreams.Share"
 
+// HandOverMethod is the call by which balancers hand on the announcements that they take.
+const HandOverMethod = "Upstreams.HandOver"
+
 // shareTimeout bounds the wait for other voters. Upstreams give an announcement
 // about a second and then turn to another voter.
 const shareTimeout = 600 * time.Millisecond
@@ -56,6 +64,10 @@
 	// those whose majority must hold a departure; both may name this one. Voting
 	// is empty while no list of voters is held.
 	Known, Voting func() []string
+	// Shape is that of the trees of balancers, to which upstreams are referred.
+	Shape tree.Shape
+	// Answering returns the voters that answer, this one among them.
+	Answering func() []home.Voter
 }
 
 // shared is an announcement on its way between voters.
@@ -74,11 +86,17 @@
 	log      hclog.Logger
 	mu       sync.Mutex
 	clients  map[string]*rpc.Client
+	referral *referral.Referral
+	// toVoters are what other voters are handed.
+	toVoters map[string]*handover.Handover
 }
 
 // New returns the announcements' taker for a feed.
 func New(s Settings, f *feed.Feed, log hclog.Logger) *Upstreams {
-	return &Upstreams{settings: s, feed: f, log: log, clients: map[string]*rpc.Client{}}
+	return &Upstreams{
+		settings: s, feed: f, log: log, clients: map[string]*rpc.Client{}, referral: referral.New(s.Shape),
+		toVoters: map[string]*handover.Handover{},
+	}
 }
 
 // Serve adds the method for other voters to a server.
@@ -87,6 +105,83 @@
 		u.feed.Announce(u.settings.Clock(), s.Upstream, s.Cold)
 		return empty{}, nil
 	})
+	rpc.Handle(r, HandOverMethod, u.settings.Token, func(_ context.Context, all []handover.Announcement) (empty, error) {
+		now := u.settings.Clock()
+		for _, a := range all {
+			u.handedOver(now, a)
+		}
+		return empty{}, nil
+	})
+}
+
+// handedOver takes an announcement that a balancer took. Departures come from the
+// upstream itself, since they are acknowledged only once a majority holds them.
+func (u *Upstreams) handedOver(now time.Time, a handover.Announcement) {
+	if a.Upstream.State != upstream.Ready || !u.feed.Configured(a.Upstream.Service) {
+		u.log.Warn("announcement of a balancer not taken", "Incarnation", fmt.Sprintf("%x", a.Upstream.Incarnation),
+			"Service", a.Upstream.Service, "State", a.Upstream.State.String())
+		return
+	}
+	u.note(now, a)
+}
+
+// Refer returns the address to which an upstream is to announce itself from now on, and
+// none where that is here.
+func (u *Upstreams) Refer(a upstream.Upstream) string {
+	zone := u.feed.Fleet(a.Zone)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.referral.Choose(u.settings.Clock(), a, zone)
+}
+
+// heardElsewhere hands an announcement to the voter that hears the upstream, and says
+// whether it took it. It came here since a balancer that took it before has ended; where
+// upstreams announce themselves to voters only, each keeps what it hears.
+func (u *Upstreams) heardElsewhere(ctx context.Context, a handover.Announcement) bool {
+	zone := lo.Map(u.feed.Fleet(a.Upstream.Zone), func(m member.Member, _ int) string { return m.Address })
+	if !u.settings.Shape.Grows(zone) {
+		return false
+	}
+	to := home.Of(a.Upstream, u.settings.Answering())
+	if to == "" || to == u.settings.Self {
+		return false
+	}
+	err := u.handovers(to).Add(ctx, handover.Gather(1, false), a)
+	if err != nil {
+		u.log.Debug("announcement not handed over", "Address", to, "Error", err)
+	}
+	return err == nil
+}
+
+// handovers returns the handover to another voter.
+func (u *Upstreams) handovers(to string) *handover.Handover {
+	client := u.client(to)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	h := u.toVoters[to]
+	if h == nil {
+		h = handover.New(u.settings.Clock, func(ctx context.Context, all []handover.Announcement) error {
+			ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+			defer cancel()
+			_, err := rpc.Call[[]handover.Announcement, empty](ctx, client, HandOverMethod, all)
+			return err
+		})
+		u.toVoters[to] = h
+	}
+	return h
+}
+
+// note takes an announcement of just now or some time ago.
+func (u *Upstreams) note(now time.Time, x handover.Announcement) {
+	news, answers := u.feed.HandedOver(now, x)
+	a := x.Upstream
+	if answers {
+		u.tellOfLife(a)
+	}
+	if news {
+		u.log.Info("upstream announced", "Incarnation", fmt.Sprintf("%x", a.Incarnation), "Service", a.Service,
+			"Address", a.Address.String(), "State", a.State.String(), "Sequence", a.Sequence, "Born", a.Born)
+	}
 }
 
 // Announce takes an upstream's announcement and returns when it may be
@@ -97,14 +192,11 @@
 	if a.State != upstream.Withdrawn && !u.feed.Configured(a.Service) {
 		return &UnknownServiceError{Service: a.Service}
 	}
-	news, answers := u.feed.Announce(u.settings.Clock(), a, cold)
-	if answers {
-		u.tellOfLife(a)
-	}
-	if news {
-		u.log.Info("upstream announced", "Incarnation", fmt.Sprintf("%x", a.Incarnation), "Service", a.Service,
-			"Address", a.Address.String(), "State", a.State.String(), "Sequence", a.Sequence, "Born", a.Born)
+	x := handover.Announcement{Upstream: a, Cold: cold}
+	if a.State == upstream.Ready && u.heardElsewhere(ctx, x) {
+		return nil
 	}
+	u.note(u.settings.Clock(), x)
 	if a.State == upstream.Ready {
 		return nil
 	}
--- a/internal/cookie/follower/fetcher.go
+++ b/internal/cookie/follower/fetcher.go
@@ -30,16 +30,18 @@
 	listener Listener
 	log      hclog.Logger
 	mu       sync.Mutex
-	// told is the newest revision that each voter spoke of; tried counts the
+	// voters are asked where a balancer that is followed does not give what it spoke of.
+	voters func() []string
+	// told is the newest revision that each source spoke of; tried counts the
 	// fetches from it since.
 	told  map[string]uint64
 	tried map[string]int
 	wake  chan struct{}
 }
 
-func newFetcher(token string, l Listener, log hclog.Logger) *fetcher {
+func newFetcher(token string, l Listener, voters func() []string, log hclog.Logger) *fetcher {
 	return &fetcher{
-		token: token, listener: l, log: log, told: map[string]uint64{}, tried: map[string]int{}, wake: make(chan struct{}, 1),
+		voters: voters, token: token, listener: l, log: log, told: map[string]uint64{}, tried: map[string]int{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -56,6 +58,13 @@
 	}
 }
 
+// revision returns the newest revision that a source spoke of.
+func (f *fetcher) revision(address string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.told[address]
+}
+
 // next returns a voter that has more than what is held, least tried first, and
 // of those the one with the newest.
 func (f *fetcher) next(held uint64) string {
@@ -87,6 +96,7 @@
 		pause := fetchPause
 		for address := f.next(f.listener.Held().Revision); address != ""; address = f.next(f.listener.Held().Revision) {
 			if err := f.fetch(ctx, address); err != nil {
+				f.askVoters(address)
 				f.log.Warn("configuration not fetched", "Address", address, "Error", err)
 				select {
 				case <-ctx.Done():
@@ -99,6 +109,18 @@
 	}
 }
 
+// askVoters lets the voters be asked for what a source spoke of and did not give. A
+// balancer gives only what is small: several followers would take a large configuration
+// over its narrow link.
+func (f *fetcher) askVoters(address string) {
+	revision := f.revision(address)
+	for _, v := range f.voters() {
+		if v != address {
+			f.tell(v, revision)
+		}
+	}
+}
+
 // fetch gets what leads from the held configuration to the voter's newest.
 func (f *fetcher) fetch(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -5,14 +5,18 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
-	"wasabideal/internal/configuration/history"
-	"wasabideal/internal/control/feed"
+	"wasabideal/internal/fanout/census"
+	"wasabideal/internal/fanout/member"
+	"wasabideal/internal/fanout/members"
+	"wasabideal/internal/fanout/origins"
+	"wasabideal/internal/fanout/selection"
+	"wasabideal/internal/fanout/tree"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/silence/word"
-	"wasabideal/internal/wire/rpc"
+	"wasabideal/internal/wire/pool"
 )
 
 const (
@@ -24,194 +28,306 @@
 	grace = 700 * time.Millisecond
 	// forgetAfter is how long a voter that no other names any more is asked in vain.
 	forgetAfter = 30 * time.Second
+	// steerEvery is the pace at which whom to follow is looked at without an event.
+	steerEvery = 100 * time.Millisecond
 )
 
 // ContactLease is how long a voter's word on who is alive holds: two questions that
 // got no answer.
 const ContactLease = 2 * (hold + grace)
 
-// Listener takes what voters answer; calls come from several goroutines.
+// Listener takes what voters say; calls come one at a time, those of configurations from
+// several goroutines.
 type Listener interface {
 	// Held returns the configuration in force.
 	Held() configuration.Configuration
 	// Informed says that upstreams are known already.
 	Informed() bool
-	// Offered takes a configuration of the voter at an address.
+	// Offered takes a configuration of the voter or balancer at an address.
 	Offered(address string, c configuration.Configuration)
-	// Answered takes the news of the voter at an address.
-	Answered(address string, a feed.Answer)
+	// Answered takes what a voter said.
+	Answered(now time.Time, x origins.Origin)
 }
 
-// Follower asks all voters it knows.
+// Settings of a follower.
+type Settings struct {
+	Token string
+	// From names the balancer to voters, and is empty for a voter.
+	From  string
+	Clock func() time.Time
+	// Self is the balancer as others may follow it; it follows voters only where that is
+	// not set.
+	Self member.Member
+	// Shape is that of the tree of a zone's balancers.
+	Shape tree.Shape
+	// StaleAfter is how old what a parent passes on of most voters may become.
+	StaleAfter time.Duration
+}
+
+// Follower asks voters, or a balancer that asks them.
 type Follower struct {
-	token    string
-	from     string
-	clock    func() time.Time
+	settings Settings
 	log      hclog.Logger
 	listener Listener
-	mu       sync.Mutex
-	ctx      context.Context
-	asking   map[string]bool
-	named    map[string]time.Time
-	// reporters are those of the voters whose last question was answered.
-	reporters map[string]*reporter
+	// taking orders what comes from several sources.
+	taking sync.Mutex
+	mu     sync.Mutex
+	ctx    context.Context
+	// watches are the sources that are asked, by their addresses.
+	watches map[string]*watch
+	// named are the voters, with when they were last named as such; seeds are those of the
+	// settings.
+	named   map[string]time.Time
+	seeds   map[string]bool
+	origins *origins.Origins
+	// selection is nil where only voters are followed.
+	selection *selection.Selection
+	census    *census.Census
+	// followers are the balancers that follow this one, directly or not.
+	followers *members.Members
 	fetcher   *fetcher
+	pool      *pool.Pool
 	running   sync.WaitGroup
 }
 
-// New returns a follower that begins with Start; from names it to voters, and is empty
-// for a voter.
-func New(token, from string, clock func() time.Time, l Listener, log hclog.Logger) *Follower {
-	return &Follower{
-		token: token, from: from, clock: clock, log: log, listener: l, asking: map[string]bool{}, named: map[string]time.Time{},
-		reporters: map[string]*reporter{}, fetcher: newFetcher(token, l, log),
+// watch is one source that is asked.
+type watch struct {
+	// voter says that it is a voter, and not a balancer.
+	voter bool
+	end   context.CancelFunc
+	// answers says that it answered the last question.
+	answers bool
+	uplink  *uplink
+}
+
+// New returns a follower that begins with Start.
+func New(s Settings, l Listener, log hclog.Logger) *Follower {
+	f := &Follower{
+		settings: s, log: log, listener: l, watches: map[string]*watch{}, named: map[string]time.Time{},
+		origins: origins.New(), census: census.New(), followers: members.New(), pool: pool.New(s.Token),
+	}
+	f.fetcher = newFetcher(s.Token, l, f.voters, log)
+	if s.Self.Address != "" {
+		f.selection = selection.New(selection.Settings{
+			Self: s.Self.Address, Shape: s.Shape, StaleAfter: s.StaleAfter, Jitter: jitter(s.Self.Address),
+		}, s.Clock())
 	}
+	return f
 }
 
 // Start begins to ask; it ends with the context.
-func (f *Follower) Start(ctx context.Context, sources []string) {
+func (f *Follower) Start(ctx context.Context, voters []string) {
 	f.ctx = ctx
-	f.running.Add(1)
+	f.running.Add(2)
 	go func() {
 		defer f.running.Done()
 		f.fetcher.run(ctx)
 	}()
-	f.Name(sources)
+	go func() {
+		defer f.running.Done()
+		f.keepTime()
+	}()
+	f.Name(voters)
 }
 
 // Wait returns when all asking has ended.
-func (f *Follower) Wait() { f.running.Wait() }
+func (f *Follower) Wait() {
+	f.running.Wait()
+	f.pool.Close()
+}
 
-// Report tells the voters that answer of upstreams that do not, or do again.
-func (f *Follower) Report(events []word.Event) {
+// Name tells of the voters' addresses that the settings name.
+func (f *Follower) Name(voters []string) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, r := range f.reporters {
-		r.tell(events)
-	}
+	f.seeds = lo.SliceToMap(voters, func(a string) (string, bool) { return a, true })
+	f.mu.Unlock()
+	f.hearOf(voters)
 }
 
-// takesReports notes whether a voter answers, so that it can be told of silence.
-func (f *Follower) takesReports(address string, r *reporter, answers bool) {
+// hearOf notes voters' addresses that others tell.
+func (f *Follower) hearOf(voters []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if answers {
-		f.reporters[address] = r
-	} else {
-		delete(f.reporters, address)
+	now := f.settings.Clock()
+	for _, a := range voters {
+		f.named[a] = now
 	}
+	f.steer(now)
 }
 
-// Name tells of voters' addresses; those not known yet are asked from now on.
-func (f *Follower) Name(addresses []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock()
-	for _, a := range addresses {
-		f.named[a] = now
-		if f.asking[a] || f.ctx.Err() != nil {
-			continue
+func (f *Follower) keepTime() {
+	t := time.NewTicker(steerEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-f.ctx.Done():
+			return
+		case <-t.C:
+		}
+		f.mu.Lock()
+		now := f.settings.Clock()
+		f.followers.Tick(now)
+		if f.census.Tick(now) {
+			f.selection.Fleet(now, f.census.Addresses())
 		}
-		f.asking[a] = true
-		f.running.Add(1)
-		go f.ask(a)
+		f.steer(now)
+		f.mu.Unlock()
 	}
 }
 
-// over says, and notes, that a voter need not be asked any more.
-func (f *Follower) over(address string, failing time.Duration) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if failing < forgetAfter || f.clock().Sub(f.named[address]) < forgetAfter {
-		return false
+// steer asks whom the selection names, and ends the other questions; the lock is held.
+func (f *Follower) steer(now time.Time) {
+	if f.ctx == nil || f.ctx.Err() != nil {
+		return
+	}
+	sources := f.sources(now)
+	wanted := f.wanted(sources)
+	for a := range f.named {
+		if !wanted[a] {
+			f.forget(now, a)
+		}
+	}
+	for a, w := range f.watches {
+		if !wanted[a] {
+			w.end()
+			delete(f.watches, a)
+			f.census.Drop(now, a)
+		}
+	}
+	for a := range wanted {
+		if f.watches[a] == nil {
+			_, voter := f.named[a]
+			f.begin(a, voter)
+		}
 	}
-	delete(f.asking, address)
-	delete(f.named, address)
-	return true
 }
 
-func (f *Follower) ask(address string) {
-	defer f.running.Done()
-	client := rpc.NewClient(address, f.token)
-	client.SetDialTimeout(dialAlone)
-	defer client.Close()
-	ctx, cancel := context.WithCancel(f.ctx)
-	defer cancel()
-	reporter := newReporter(f.token, f.from, address, f.clock, f.log)
-	defer f.takesReports(address, reporter, false)
-	f.running.Add(1)
-	go func() {
-		defer f.running.Done()
-		reporter.run(ctx)
-	}()
-	var q feed.Question
-	var again retry
-	answered, failing := f.clock(), false
-	for f.ctx.Err() == nil {
-		err := f.once(client, address, &q)
-		f.takesReports(address, reporter, err == nil)
-		if err == nil {
-			if failing {
-				f.log.Info("voter answers again", "Address", address)
-			}
-			again, answered, failing = retry{}, f.clock(), false
-			continue
-		}
-		if !failing && f.ctx.Err() == nil {
-			f.log.Warn("voter does not answer", "Address", address, "Error", err)
+// wanted returns the addresses of the sources.
+func (f *Follower) wanted(s selection.Sources) map[string]bool {
+	out := map[string]bool{}
+	for _, a := range s.Parents {
+		out[a] = true
+	}
+	if !s.Voters {
+		return out
+	}
+	if first := f.firstSeed(); s.Few && first != "" {
+		out[first] = true
+		return out
+	}
+	for a := range f.named {
+		if !s.Few || f.seeds[a] || len(f.seeds) == 0 {
+			out[a] = true
 		}
-		failing = true
-		if f.over(address, f.clock().Sub(answered)) {
-			return
+	}
+	return out
+}
+
+// firstSeed returns the voter of the settings that suffices for a start, empty where none
+// has answered yet. Each balancer has its own: a fleet that restarts would otherwise hold
+// connections to all voters for each of its balancers.
+func (f *Follower) firstSeed() string {
+	first := ""
+	for a := range f.seeds {
+		if w := f.watches[a]; w == nil || !w.answers {
+			continue
 		}
-		pause, dial := again.next(f.alone())
-		client.SetDialTimeout(dial)
-		select {
-		case <-f.ctx.Done():
-		case <-time.After(pause):
+		if first == "" || hash(a+f.settings.From) < hash(first+f.settings.From) {
+			first = a
 		}
 	}
+	return first
 }
 
-// alone says that no voter answers.
-func (f *Follower) alone() bool {
+// sources returns whom to ask, and logs what changed.
+func (f *Follower) sources(now time.Time) selection.Sources {
+	if f.selection == nil {
+		return selection.Sources{Voters: true}
+	}
+	f.selection.Voters(now, f.answering(), len(f.named))
+	f.selection.Probed(now)
+	if c, changed := f.selection.Changed(); changed {
+		f.log.Info("follows", "Parent", c.Parent, "Reason", string(c.Reason), "Level", f.selection.Level(),
+			"Balancers", len(f.census.Members()), "FreshVoters", f.origins.Fresh(now, f.settings.StaleAfter))
+	}
+	return f.selection.Decide(now)
+}
+
+// answering counts the voters that answer here.
+func (f *Follower) answering() int {
+	return lo.CountBy(lo.Values(f.watches), func(w *watch) bool { return w.voter && w.answers })
+}
+
+// voters returns the addresses of all voters known.
+func (f *Follower) voters() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.reporters) == 0
+	return lo.Keys(f.named)
 }
 
-func (f *Follower) once(client *rpc.Client, address string, q *feed.Question) error {
-	held := f.listener.Held()
-	q.Hold, q.Recalled, q.From, q.Encoded, q.Unconfigured = hold, !f.listener.Informed(), f.from, true, held.Revision == 0 && f.alone()
-	ctx, cancel := context.WithTimeout(f.ctx, hold+grace)
-	defer cancel()
-	a, err := rpc.Call[feed.Question, feed.Answer](ctx, client, feed.SinceMethod, *q)
-	if err != nil {
-		return err
-	}
-	if a, err = a.Decoded(); err != nil {
-		return err
+// forget drops a voter that is not named any more.
+func (f *Follower) forget(now time.Time, voter string) {
+	if now.Sub(f.named[voter]) >= forgetAfter {
+		delete(f.named, voter)
+		f.origins.Forget(voter)
 	}
-	if len(a.Configuration) > 0 {
-		f.offer(address, held, a.Configuration)
+}
+
+// begin asks a source from now on; the lock is held.
+func (f *Follower) begin(address string, voter bool) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	w := &watch{voter: voter, end: cancel}
+	w.uplink = &uplink{
+		token: f.settings.Token, to: address, clock: f.settings.Clock, log: f.log, wake: make(chan struct{}, 1),
+		attendance: func() []members.Attendance { return f.attendance(address) },
 	}
-	q.Revision, q.Life, q.Version, q.Doubts = a.Revision, a.Life, a.Version, a.DoubtsVersion
-	f.listener.Answered(address, a)
-	f.fetcher.tell(address, a.Revision)
-	f.Name(a.Members)
-	return nil
+	f.watches[address] = w
+	f.running.Add(2)
+	go func() {
+		defer f.running.Done()
+		w.uplink.run(ctx)
+	}()
+	go func() {
+		defer f.running.Done()
+		defer cancel()
+		if voter {
+			f.askVoter(ctx, address, w)
+		} else {
+			f.askParent(ctx, address)
+		}
+	}()
 }
 
-// offer passes on the configuration that came with the news.
-func (f *Follower) offer(address string, held configuration.Configuration, encoded cbor.RawMessage) {
-	var a history.Answer
-	err := cbor.Unmarshal(encoded, &a)
-	if err == nil {
-		held, err = history.Follow(held, a)
+// upward are the sources that are told what this balancer knows: its parent, or the voters
+// that answer; the lock is held.
+func (f *Follower) upward() []string {
+	if f.selection != nil && f.selection.Parent() != "" {
+		return []string{f.selection.Parent()}
 	}
-	if err != nil {
-		f.log.Warn("configuration with the news cannot be read", "Address", address, "Error", err)
-		return
+	var out []string
+	for a, w := range f.watches {
+		if w.voter && w.answers {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Report tells of upstreams that do not answer, or do again.
+func (f *Follower) Report(events []word.Event) {
+	f.Pass(word.Report{From: f.settings.From, Events: events})
+}
+
+// Pass tells what a balancer saw that follows this one.
+func (f *Follower) Pass(r word.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.upward() {
+		if w := f.watches[a]; w != nil {
+			w.uplink.tell(r.From, r.Events)
+		}
 	}
-	f.listener.Offered(address, held)
 }
+
+// jitter returns a number between 0 and 1 that differs between balancers.
+func jitter(address string) float64 { return float64(hash(address)%1000) / 1000 }
--- a/internal/cookie/follower/follower_test.go
+++ b/internal/cookie/follower/follower_test.go
@@ -14,6 +14,7 @@
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/cookie/follower"
+	"wasabideal/internal/fanout/origins"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/standin/server"
@@ -89,10 +90,10 @@
 	l.held = c
 }
 
-func (l *listener) Answered(address string, a feed.Answer) {
+func (l *listener) Answered(_ time.Time, x origins.Origin) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.notices[address] += len(a.Notices)
+	l.notices[x.Voter] += len(x.Notices)
 }
 
 func (l *listener) heard(address string) int {
@@ -106,7 +107,7 @@
 // followFrom follows with a configuration that is held already, none for revision 0.
 func followFrom(t *testing.T, revision uint64, addresses ...string) *listener {
 	l := &listener{notices: map[string]int{}, held: configuration.Configuration{Revision: revision}}
-	f := follower.New("group", "balancer", time.Now, l, hclog.NewNullLogger())
+	f := follower.New(follower.Settings{Token: "group", From: "balancer", Clock: time.Now}, l, hclog.NewNullLogger())
 	ctx, cancel := context.WithCancel(context.Background())
 	f.Start(ctx, addresses)
 	t.Cleanup(func() {
--- a/internal/cookie/follower/uplink.go
+++ b/internal/cookie/follower/uplink.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,67 +10,85 @@
 	"github.com/samber/lo"
 
 	"wasabideal/internal/control/feed"
+	"wasabideal/internal/fanout/members"
 	"wasabideal/internal/silence/word"
 	"wasabideal/internal/wire/rpc"
 )
 
 const (
-	// reportEvery is the least time between two reports to a voter: evidence of some
-	// upstreams comes together.
+	// reportEvery is the least time between two reports to a voter or parent: evidence of
+	// some upstreams comes together.
 	reportEvery = 20 * time.Millisecond
 	// reportTimeout bounds one report. Later, its evidence is worth nothing.
 	reportTimeout = 300 * time.Millisecond
 	// eventsMost bounds the events of one report, 40 bytes each.
 	eventsMost = 64
+	// answersMost bounds it where all are signs of life.
+	answersMost = 2 * eventsMost
+	// attendFirst is when the followers are first reported to a new parent or voter: soon,
+	// so that voters that restarted know the fleet again.
+	attendFirst = 200 * time.Millisecond
 )
 
-// seen is an event with the time at which it was seen here.
+// seen is an event with who saw it, and the time at which it was known here.
 type seen struct {
 	word.Event
-	at time.Time
+	from string
+	at   time.Time
 }
 
-// reporter tells one voter of upstreams that leave packets unanswered, or answer again.
-type reporter struct {
-	token, from, to string
-	clock           func() time.Time
-	log             hclog.Logger
-	mu              sync.Mutex
-	waiting         []seen
-	wake            chan struct{}
+// uplink tells one voter or parent of upstreams that leave packets unanswered or answer
+// again, and of the balancers that follow this one.
+type uplink struct {
+	token, to string
+	clock     func() time.Time
+	log       hclog.Logger
+	// attendance is whom to report there, none while nothing is to be.
+	attendance func() []members.Attendance
+	mu         sync.Mutex
+	waiting    []seen
+	wake       chan struct{}
 }
 
-func newReporter(token, from, to string, clock func() time.Time, log hclog.Logger) *reporter {
-	return &reporter{token: token, from: from, to: to, clock: clock, log: log, wake: make(chan struct{}, 1)}
-}
-
-// tell adds events to the next report. Where too many wait, the oldest are dropped: they
-// count least.
-func (r *reporter) tell(events []word.Event) {
-	now := r.clock()
-	r.mu.Lock()
+// tell adds events of a balancer to the next report. Where too many wait, the oldest
+// unanswered packets are dropped: they count least. A sign of life that got lost would let
+// an upstream count as unresponsive that lives.
+func (u *uplink) tell(from string, events []word.Event) {
+	now := u.clock()
+	u.mu.Lock()
 	for _, e := range events {
-		r.waiting = append(r.waiting, seen{Event: e, at: now})
+		u.waiting = append(u.waiting, seen{Event: e, from: from, at: now})
 	}
-	r.waiting = r.waiting[max(len(r.waiting)-eventsMost, 0):]
-	r.mu.Unlock()
+	excess := len(u.waiting) - eventsMost
+	u.waiting = slices.DeleteFunc(u.waiting, func(s seen) bool {
+		excess--
+		return excess >= 0 && !s.Answered
+	})
+	u.waiting = u.waiting[max(len(u.waiting)-answersMost, 0):]
+	u.mu.Unlock()
 	select {
-	case r.wake <- struct{}{}:
+	case u.wake <- struct{}{}:
 	default:
 	}
 }
 
 // run sends reports until the context ends, the next once the last was taken.
-func (r *reporter) run(ctx context.Context) {
-	client := rpc.NewClient(r.to, r.token)
+func (u *uplink) run(ctx context.Context) {
+	client := rpc.NewClient(u.to, u.token)
 	defer client.Close()
+	attend := time.NewTimer(attendFirst)
+	defer attend.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-r.wake:
+		case <-attend.C:
+			u.attend(ctx, client)
+			attend.Reset(members.AttendEvery)
+			continue
+		case <-u.wake:
 		}
-		r.send(ctx, client)
+		u.send(ctx, client)
 		select {
 		case <-ctx.Done():
 			return
@@ -78,23 +97,43 @@
 	}
 }
 
-// send sends what waits; what a voter does not take is old by the next report.
-func (r *reporter) send(ctx context.Context, client *rpc.Client) {
-	now := r.clock()
-	r.mu.Lock()
-	report := word.Report{From: r.from, Events: lo.Map(r.waiting, func(s seen, _ int) word.Event {
-		s.Age += now.Sub(s.at)
-		return s.Event
-	})}
-	r.waiting = nil
-	r.mu.Unlock()
-	if len(report.Events) == 0 {
+// send sends what waits; what is not taken is old by the next report.
+func (u *uplink) send(ctx context.Context, client *rpc.Client) {
+	reports := u.take()
+	if len(reports) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if _, err := rpc.Call[[]word.Report, empty](ctx, client, feed.ReportsMethod, reports); err != nil {
+		u.log.Debug("silence not reported", "Address", u.to, "Error", err)
+	}
+}
+
+// take returns the reports that wait, one of each balancer, with their ages as of now.
+func (u *uplink) take() []word.Report {
+	now := u.clock()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	byBalancer := lo.GroupBy(u.waiting, func(s seen) string { return s.from })
+	u.waiting = nil
+	return lo.MapToSlice(byBalancer, func(from string, all []seen) word.Report {
+		return word.Report{From: from, Events: lo.Map(all, func(s seen, _ int) word.Event {
+			s.Age += now.Sub(s.at)
+			return s.Event
+		})}
+	})
+}
+
+func (u *uplink) attend(ctx context.Context, client *rpc.Client) {
+	all := u.attendance()
+	if len(all) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	if _, err := rpc.Call[word.Report, empty](ctx, client, feed.ReportMethod, report); err != nil {
-		r.log.Debug("silence not reported", "Address", r.to, "Error", err)
+	if _, err := rpc.Call[[]members.Attendance, empty](ctx, client, feed.AttendMethod, all); err != nil {
+		u.log.Debug("followers not reported", "Address", u.to, "Error", err)
 	}
 }
 
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -26,7 +26,9 @@
 	"wasabideal/internal/disk/folder"
 	"wasabideal/internal/disk/local"
 	"wasabideal/internal/disk/wal"
+	"wasabideal/internal/fanout/tree"
 	"wasabideal/internal/upstream/directory"
+	"wasabideal/internal/upstream/home"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -35,7 +37,10 @@
 // Settings of a control process.
 type Settings struct {
 	Name string
-	Rpc  string
+	// Zone is the voter's availability zone, Shape that of the trees of balancers.
+	Zone  string
+	Shape tree.Shape
+	Rpc   string
 	// Advertise is the call address that others use, where it is not Rpc: behind
 	// an address translation, say.
 	Advertise  string
@@ -79,8 +84,10 @@
 	follower *follower.Follower
 	others   *others
 	server   *rpc.Server
-	cancel   context.CancelFunc
-	running  sync.WaitGroup
+	// callsLogged is when the calls of others were last logged.
+	callsLogged time.Time
+	cancel      context.CancelFunc
+	running     sync.WaitGroup
 }
 
 // Listen opens the data folder and the port; listener may be nil to open Rpc.
@@ -122,12 +129,16 @@
 	if err != nil {
 		return err
 	}
+	c.others = newOthers()
+	c.follower = follower.New(follower.Settings{Token: c.settings.GroupToken, Clock: c.settings.Clock}, c.others, c.log)
 	c.upstreams = upstreams.New(upstreams.Settings{
 		Token: c.settings.GroupToken, Clock: c.settings.Clock, Self: c.Advertised(),
-		Known: c.voter.Members, Voting: c.voter.Voting,
+		Known: c.voter.Members, Voting: c.voter.Voting, Shape: c.settings.Shape,
+		Answering: func() []home.Voter {
+			return append(c.follower.Voters(), home.Voter{Address: c.Advertised(), Zone: c.settings.Zone})
+		},
 	}, c.feed, c.log)
-	c.others = newOthers(c.settings.Clock)
-	c.follower = follower.New(c.settings.GroupToken, "", c.settings.Clock, c.others, c.log)
+	c.feed.SetZone(c.settings.Zone)
 	c.recallUpstreams()
 	c.server = rpc.NewServer(c.voter.Denied)
 	c.voter.Serve(c.server)
--- a/internal/daemon/control/others.go
+++ b/internal/daemon/control/others.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"wasabideal/internal/control/feed"
 	"wasabideal/internal/cookie/follower"
+	"wasabideal/internal/fanout/origins"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/upstream/view"
@@ -16,15 +16,14 @@
 // balancers hear each voter themselves, but after a loss of power everywhere the
 // first voter to answer them has to know all upstreams.
 type others struct {
-	clock func() time.Time
-	mu    sync.Mutex
-	view  *view.View
+	mu   sync.Mutex
+	view *view.View
 	// version rises with what others tell.
 	version uint64
 }
 
-func newOthers(clock func() time.Time) *others {
-	return &others{clock: clock, view: view.New(view.Settings{ContactLease: follower.ContactLease, ForgetAfter: forgetUpstream})}
+func newOthers() *others {
+	return &others{view: view.New(view.Settings{ContactLease: follower.ContactLease, ForgetAfter: forgetUpstream})}
 }
 
 // Held names a configuration that none is newer than: voters agree on
@@ -40,11 +39,11 @@
 func (o *others) Offered(string, configuration.Configuration) {}
 
 // Answered takes a voter's news.
-func (o *others) Answered(address string, a feed.Answer) {
+func (o *others) Answered(now time.Time, x origins.Origin) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.view.Take(o.clock(), address, a.Life, a.Notices)
-	if len(a.Notices) > 0 {
+	o.view.Take(now, x.Voter, x.Life, x.Notices)
+	if len(x.Notices) > 0 {
 		o.version++
 	}
 }
--- a/internal/daemon/control/recall.go
+++ b/internal/daemon/control/recall.go
@@ -5,6 +5,9 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -28,6 +31,25 @@
 	agePace = 100 * time.Millisecond
 )
 
+// callsEvery is the time between two log lines on the calls that others made.
+const callsEvery = 10 * time.Second
+
+// logCalls logs how many calls of each kind were answered, from which what a voter's
+// processor is spent on can be told afterwards.
+func (c *Control) logCalls(now time.Time) {
+	if now.Sub(c.callsLogged) < callsEvery {
+		return
+	}
+	c.callsLogged = now
+	args := []any{}
+	for _, name := range slices.Sorted(maps.Keys(c.server.Calls())) {
+		if n := c.server.Calls()[name]; n > 0 {
+			args = append(args, strings.ReplaceAll(name, ".", ""), n)
+		}
+	}
+	c.log.Info("calls", args...)
+}
+
 // keepUpstreams ages announcements and tells what was gathered.
 func (c *Control) keepUpstreams(ctx context.Context) {
 	t := time.NewTicker(agePace)
@@ -38,7 +60,9 @@
 			return
 		case <-t.C:
 			c.feed.SetMembers(c.voter.Members())
-			c.feed.Tick(c.settings.Clock())
+			now := c.settings.Clock()
+			c.feed.Tick(now)
+			c.logCalls(now)
 		}
 	}
 }
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -11,10 +11,11 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
-	"wasabideal/internal/control/feed"
 	"wasabideal/internal/cookie/follower"
 	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/cookie/router"
+	"wasabideal/internal/fanout/origins"
+	"wasabideal/internal/fanout/tree"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/overload/uplink"
 	"wasabideal/internal/overload/waiting"
@@ -63,6 +64,13 @@
 	Sources []string
 	Zone    string
 	Token   string
+	// Rpc is the address for calls of other balancers, empty where none follows this one,
+	// and Announcements the one at which upstreams are to announce themselves here.
+	Rpc, Announcements string
+	// Shape is that of the tree of the zone's balancers.
+	Shape tree.Shape
+	// StaleAfter is how old what another balancer passes on may become.
+	StaleAfter time.Duration
 	// StopTimeout bounds a planned stop.
 	StopTimeout time.Duration
 	Codec       Codec
@@ -80,6 +88,7 @@
 	log      hclog.Logger
 	socket   *datagram.Socket
 	follower *follower.Follower
+	fanout   *fanout
 	mu       sync.Mutex
 	router   *router.Router
 	view     *view.View
@@ -127,8 +136,7 @@
 		Zone: s.Zone, Seed: xxhash.Sum64String(s.Fabric), Off: s.Off, Suspected: b.suspected,
 		Opened: b.counts.opened.Record, Answered: b.counts.answered.Record,
 	})
-	b.follower = follower.New(s.Token, s.Fabric, s.Clock, b, log)
-	return b, nil
+	return b, b.follow()
 }
 
 // Address returns where the balancer takes datagrams.
@@ -140,6 +148,9 @@
 	b.follower.Start(b.ctx, b.settings.Sources)
 	b.goRun(b.read)
 	b.goRun(b.keepTime)
+	if b.fanout != nil {
+		b.goRun(b.serveFollowers)
+	}
 	if b.uploads != nil {
 		b.goRun(b.pace)
 	}
@@ -185,21 +196,23 @@
 		return
 	}
 	b.held = c
+	b.published(c)
 	b.log.Info("configuration in force", "Revision", c.Revision, "From", address, "Routes", len(c.Routes))
 	b.outdated = true
 	b.refresh(b.settings.Clock())
 }
 
-// Answered takes a voter's news.
-func (b *Balancer) Answered(address string, a feed.Answer) {
+// Answered takes what a voter said.
+func (b *Balancer) Answered(now time.Time, x origins.Origin) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.settings.Clock()
-	b.view.Take(now, address, a.Life, a.Notices)
+	contact := now.Add(-x.Age)
+	b.view.Hear(now, view.News{Voter: x.Voter, Life: x.Life, Version: x.Version, Contact: contact, Notices: x.Notices})
 	b.refresh(now)
-	if b.doubts.Take(now, address, a.Doubts) {
+	if x.Doubted && b.doubts.Hear(now, contact, x.Voter, x.Subjects) {
 		b.doubt(now)
 	}
+	b.passedOn(x)
 }
 
 // refresh gives the router the upstreams as the voters tell of them; the lock is held.
--- a/internal/daemon/cookie/cookie_test.go
+++ b/internal/daemon/cookie/cookie_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"wasabideal/internal/control/agreement"
@@ -18,6 +19,7 @@
 	"wasabideal/internal/cookie/router"
 	"wasabideal/internal/daemon/control"
 	"wasabideal/internal/daemon/cookie"
+	"wasabideal/internal/fanout/tree"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/silence/word"
@@ -259,3 +261,79 @@
 	require.True(t, ok)
 	require.Equal(t, "reset", string(data))
 }
+
+// startInTree starts a balancer that others may follow, in a zone of which one follows the
+// voters.
+func startInTree(t *testing.T, voter string) *cookie.Balancer {
+	b, err := cookie.Listen(cookie.Settings{
+		Fabric: "127.0.0.1:0", Sources: []string{voter}, Zone: "a", Token: "group", StopTimeout: 10 * time.Second,
+		Codec: plain{}, Clock: time.Now, Rpc: "127.0.0.1:0", Announcements: "127.0.0.1:1",
+		Shape: tree.Shape{Roots: 1, Fanout: 4}, StaleAfter: 2 * time.Second,
+	}, hclog.NewNullLogger())
+	require.NoError(t, err)
+	b.Start(context.Background())
+	return b
+}
+
+// follows returns the balancers that follow another one.
+func follows(all []*cookie.Balancer) []*cookie.Balancer {
+	return lo.Filter(all, func(b *cookie.Balancer, _ int) bool { return b.Standing().Parent != "" })
+}
+
+// The whole path between balancers: three of a zone, one of which follows the voters.
+// Upstreams, a configuration and a departure reach all of them; when the one at the top
+// ends, the others find their way, and what was announced through them stays known.
+func TestBalancersFollowEachOther(t *testing.T) {
+	c := startVoter(t)
+	publish(t, c)
+	caller, serves := listenUDP(t), listenUDP(t)
+	announce(t, c, addressOf(serves))
+	all := []*cookie.Balancer{startInTree(t, c.Address()), startInTree(t, c.Address()), startInTree(t, c.Address())}
+	for _, b := range all {
+		t.Cleanup(b.Kill)
+	}
+	require.Eventually(t, func() bool { return len(follows(all)) == 2 }, 20*time.Second, 10*time.Millisecond)
+	for _, b := range all {
+		require.True(t, b.Ready())
+		require.Equal(t, 1, b.Standing().Fresh)
+	}
+	below := follows(all)[0]
+	send(t, caller, below, router.Packet{Opening: true})
+	_, ok := receive(serves, 20*time.Second)
+	require.True(t, ok)
+
+	// An announcement through a follower reaches the voter, and from there all of them.
+	other := listenUDP(t)
+	u := upstream.Upstream{
+		Identity: upstream.Identity{Service: "orders", Address: addressOf(other), Incarnation: 78}, Zone: "a", Slots: 2, Sequence: 1,
+	}
+	require.NoError(t, below.Announce(t.Context(), u, 0))
+	for _, b := range all {
+		require.Eventually(t, func() bool { return b.Upstreams() == 2 }, 20*time.Second, 10*time.Millisecond)
+	}
+	u.State = upstream.Draining
+	var departure *cookie.DepartureError
+	require.ErrorAs(t, below.Announce(t.Context(), u, 0), &departure, "departures are the voters'")
+
+	// A change reaches those below.
+	_, err := c.Voter().Publish(t.Context(), configuration.Configuration{
+		Revision: 9, Services: []configuration.Service{{Name: "orders", Protocol: configuration.TCP}},
+		Routes: []configuration.Route{{Name: "r", Address: orders, Service: "orders", Timeout: 2 * time.Second}},
+	}, "second", "test")
+	require.NoError(t, err)
+	for _, b := range all {
+		require.Eventually(t, func() bool { return b.Held().Revision == 9 }, 20*time.Second, 10*time.Millisecond)
+	}
+
+	// The one at the top ends.
+	top, _ := lo.Find(all, func(b *cookie.Balancer) bool { return b.Standing().Parent == "" })
+	rest := lo.Without(all, top)
+	top.Kill()
+	require.NoError(t, c.Upstreams().Announce(t.Context(), upstream.Upstream{
+		Identity: upstream.Identity{Service: "orders", Address: addressOf(listenUDP(t)), Incarnation: 79}, Zone: "a", Slots: 2, Sequence: 1,
+	}, 0))
+	for _, b := range rest {
+		require.Eventually(t, func() bool { return b.Upstreams() == 3 }, 20*time.Second, 10*time.Millisecond)
+		require.Equal(t, 1, b.Standing().Fresh)
+	}
+}
--- a/internal/daemon/cookie/counts.go
+++ b/internal/daemon/cookie/counts.go
@@ -50,7 +50,22 @@
 		set("Uploads", b.uploads.link.Active(b.settings.Clock()))
 	}
 	b.mu.Unlock()
+	b.setFanout(set)
 	if err := text.New(b.counts.registry, "wasabideal").Print(w); err != nil {
 		b.log.Warn("metrics not written", "Error", err)
 	}
 }
+
+// setFanout tells whom the balancer follows and who follows it.
+func (b *Balancer) setFanout(set func(name string, v int)) {
+	if b.fanout == nil {
+		return
+	}
+	s := b.Standing()
+	set("FanoutLevel", s.Level)
+	set("FanoutFollowers", b.fanout.relay.Followers())
+	set("FanoutFollowersAll", s.Followers)
+	set("FanoutBalancers", s.Balancers)
+	set("FanoutVotersFresh", s.Fresh)
+	set("FanoutAgeMilliseconds", int(s.Age.Milliseconds()))
+}
--- a/internal/daemon/cookie/stop.go
+++ b/internal/daemon/cookie/stop.go
@@ -6,6 +6,10 @@
 // are forwarded until the fabric sends none any more.
 func (b *Balancer) Stop() {
 	b.leaving.Store(true)
+	if b.fanout != nil {
+		// Followers turn to another balancer while this one still answers.
+		b.fanout.relay.Wake()
+	}
 	begun := b.settings.Clock()
 	b.log.Info("leaving", "Timeout", b.settings.StopTimeout.String())
 	t := time.NewTicker(tick)
@@ -29,6 +33,9 @@
 func (b *Balancer) Kill() {
 	b.cancel()
 	b.socket.Close()
+	if b.fanout != nil {
+		_ = b.fanout.listener.Close()
+	}
 	b.follower.Wait()
 	b.running.Wait()
 }
--- /dev/null
+++ b/internal/fanout/census/census_test.go
@@ -0,0 +1,58 @@
+package census_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/fanout/census"
+	"wasabideal/internal/fanout/member"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func list(version uint64, addresses ...string) census.List {
+	l := census.List{Life: 1, Version: version}
+	for _, a := range addresses {
+		l.Members = append(l.Members, member.Member{Zone: "a", Address: a})
+	}
+	return l
+}
+
+func TestListsAreJoined(t *testing.T) {
+	c := census.New()
+	c.Take(epoch, "v1", list(1, "b2", "b1"))
+	c.Take(epoch, "v2", list(1, "b3"))
+	require.Equal(t, []string{"b1", "b2", "b3"}, c.Addresses())
+	require.Equal(t, uint64(1), c.Of("v1").Version)
+	version := c.Version()
+	c.Take(epoch, "v3", list(1, "b1"))
+	require.Equal(t, version, c.Version(), "nothing is new")
+}
+
+// Symptom: all balancers of a zone changed whom they followed, twice, within seconds.
+// Events: all voters restart, and know only the balancers that ask them at first.
+// Cause: whoever was missing from their lists was taken for gone.
+func TestShortListTakesNobodyAwayAtOnce(t *testing.T) {
+	c := census.New()
+	c.Take(epoch, "v1", list(1, "b1", "b2", "b3"))
+	version := c.Version()
+	c.Take(epoch.Add(time.Second), "v1", list(2, "b1"))
+	require.Equal(t, []string{"b1", "b2", "b3"}, c.Addresses())
+	require.Equal(t, version, c.Version())
+	require.False(t, c.Tick(epoch.Add(20*time.Second)))
+	require.True(t, c.Tick(epoch.Add(40*time.Second)))
+	require.Equal(t, []string{"b1"}, c.Addresses())
+}
+
+func TestSourceThatIsDroppedIsForgottenLater(t *testing.T) {
+	c := census.New()
+	c.Take(epoch, "v1", list(1, "b1"))
+	c.Drop(epoch, "v1")
+	c.Drop(epoch, "v2")
+	require.Equal(t, []string{"b1"}, c.Addresses())
+	require.Zero(t, c.Of("v1").Version, "its list is asked for anew")
+	require.True(t, c.Tick(epoch.Add(time.Minute)))
+	require.Empty(t, c.Members())
+}
--- /dev/null
+++ b/internal/fanout/members/members_test.go
@@ -0,0 +1,52 @@
+package members_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/fanout/member"
+	"wasabideal/internal/fanout/members"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func attendance(address, zone string, age time.Duration) members.Attendance {
+	return members.Attendance{Member: member.Member{Zone: zone, Address: address}, Age: age}
+}
+
+func TestMembersOfAZoneByAddress(t *testing.T) {
+	m := members.New()
+	m.Hear(epoch, attendance("b2", "a", 0))
+	m.Hear(epoch, attendance("b1", "a", 0))
+	m.Hear(epoch, attendance("b3", "b", 0))
+	m.Hear(epoch, attendance("", "a", 0))
+	zone := m.Zone("a")
+	require.Len(t, zone, 2)
+	require.Equal(t, "b1", zone[0].Address)
+	require.Equal(t, uint64(2), m.Version("a"))
+	m.Hear(epoch.Add(time.Second), attendance("b2", "a", 0))
+	require.Equal(t, uint64(2), m.Version("a"), "that it is still there is no change")
+}
+
+// Symptom: balancers that had lost power stayed in the list for minutes.
+// Events: two balancers that follow each other's parents report each other's followers.
+// Cause: a report counted from when it came, not from when the member was heard.
+func TestAgesAreThoseOfTheMembersThemselves(t *testing.T) {
+	m := members.New()
+	for s := range 40 {
+		now := epoch.Add(time.Duration(s) * time.Second)
+		m.Hear(now, attendance("b1", "a", time.Duration(s)*time.Second))
+		m.Tick(now)
+	}
+	require.Empty(t, m.Zone("a"))
+	require.Equal(t, uint64(2), m.Version("a"))
+}
+
+func TestOlderReportDoesNotMakeAMemberOlder(t *testing.T) {
+	m := members.New()
+	m.Hear(epoch, attendance("b1", "a", 0))
+	m.Hear(epoch, attendance("b1", "a", 20*time.Second))
+	require.Equal(t, time.Second, m.Attendances(epoch.Add(time.Second))[0].Age)
+}
--- /dev/null
+++ b/internal/fanout/relay/relay.go
@@ -0,0 +1,210 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"wasabideal/internal/fanout/member"
+	"wasabideal/internal/fanout/origins"
+	"wasabideal/internal/wire/rpc"
+)
+
+// SinceMethod is the call by which a balancer asks another one for news.
+const SinceMethod = "Relay.Since"
+
+const (
+	// followerFor is how long a balancer counts as a follower after its last question.
+	followerFor = 2 * time.Second
+	// gatherNotices is the least time between two answers with news of upstreams, as at
+	// a voter: five voters would wake all followers up to fifty times a second. With three
+	// levels below the voters a departure is known everywhere within a second.
+	gatherNotices = 250 * time.Millisecond
+	// gatherDoubts is how long an answer with doubts waits for those of other voters,
+	// which hear the same reports within some milliseconds.
+	gatherDoubts = 10 * time.Millisecond
+)
+
+// Question is what a balancer asks another one.
+type Question struct {
+	// From is the call address of the balancer that asks.
+	From string
+	// Hold is how long the answer may wait for news.
+	Hold time.Duration
+	// Revision is the newest configuration that it has heard of.
+	Revision uint64
+	// Fleet is the version of the list of balancers that it was given here last.
+	Fleet uint64
+	// Known is how far it has heard the voters.
+	Known []origins.Known
+}
+
+// Answer brings a balancer up to date.
+type Answer struct {
+	// Revision is that of the configuration in force here.
+	Revision uint64
+	// Origins are what the voters said.
+	Origins []origins.Origin
+	// Voters are the call addresses of all voters known here.
+	Voters []string
+	// Fleet are the balancers of the zone, nil where they were told before.
+	Fleet        []member.Member `cbor:",omitempty"`
+	FleetVersion uint64
+	// Held is how long the question waited here: the rest of the time until the answer
+	// arrived adds to the age of what it says.
+	Held time.Duration
+}
+
+// FullError says that enough balancers follow this one.
+type FullError struct{ Followers int }
+
+func (e *FullError) Error() string {
+	return fmt.Sprintf("%d balancers follow this one; ask another", e.Followers)
+}
+
+// LeavingError says that this balancer stops.
+type LeavingError struct{}
+
+func (*LeavingError) Error() string { return "this balancer stops; follow another" }
+
+// Content is what a balancer has heard.
+type Content interface {
+	// News answers a question, and says whether there is anything that the one who asks
+	// does not know.
+	News(now time.Time, q Question) (Answer, bool)
+	// Leaving says that the balancer stops.
+	Leaving() bool
+}
+
+// Relay lets followers wait for news; it is safe for concurrent use.
+type Relay struct {
+	content       Content
+	clock         func() time.Time
+	followersMost int
+	mu            sync.Mutex
+	changed       chan struct{}
+	// woken is when followers were last woken, due when they will be next.
+	woken, due time.Time
+	// asked is when each follower last asked.
+	asked map[string]time.Time
+}
+
+// New returns a relay that takes so many followers at the most.
+func New(c Content, clock func() time.Time, followersMost int) *Relay {
+	return &Relay{
+		content: c, clock: clock, followersMost: followersMost, changed: make(chan struct{}), asked: map[string]time.Time{},
+	}
+}
+
+// Serve adds the relay's method to a server.
+func (r *Relay) Serve(s *rpc.Server, token string) {
+	rpc.Handle(s, SinceMethod, token, r.Since)
+}
+
+// Since answers at once if there is news, else after the hold or with the news.
+func (r *Relay) Since(ctx context.Context, q Question) (Answer, error) {
+	begun := r.clock()
+	if err := r.admit(begun, q.From); err != nil {
+		return Answer{}, err
+	}
+	hold := time.NewTimer(q.Hold)
+	defer hold.Stop()
+	for {
+		changed := r.wait()
+		now := r.clock()
+		a, news := r.content.News(now, q)
+		a.Held = now.Sub(begun)
+		if news {
+			return a, nil
+		}
+		if r.content.Leaving() {
+			return Answer{}, &LeavingError{}
+		}
+		select {
+		case <-changed:
+		case <-hold.C:
+			now = r.clock()
+			a, _ = r.content.News(now, q)
+			a.Held = now.Sub(begun)
+			return a, nil
+		case <-ctx.Done():
+			return a, nil
+		}
+	}
+}
+
+// admit counts a follower, if there is room for it.
+func (r *Relay) admit(now time.Time, from string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, follows := r.asked[from]; !follows && r.followers(now) >= r.followersMost {
+		return &FullError{Followers: len(r.asked)}
+	}
+	r.asked[from] = now
+	return nil
+}
+
+func (r *Relay) followers(now time.Time) int {
+	for name, asked := range r.asked {
+		if now.Sub(asked) > followerFor {
+			delete(r.asked, name)
+		}
+	}
+	return len(r.asked)
+}
+
+// Followers counts the balancers that follow this one.
+func (r *Relay) Followers() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.followers(r.clock())
+}
+
+func (r *Relay) wait() chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// NewNotices lets followers know of upstreams that changed.
+func (r *Relay) NewNotices() { r.wakeWithin(gatherNotices) }
+
+// NewDoubts lets them know of other doubts.
+func (r *Relay) NewDoubts() { r.wakeWithin(gatherDoubts) }
+
+// Wake lets them know at once.
+func (r *Relay) Wake() { r.wakeWithin(0) }
+
+// wakeWithin wakes the followers so long after the last time, or earlier if that is due
+// anyway.
+func (r *Relay) wakeWithin(pause time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock()
+	at := r.woken.Add(pause)
+	if pause == gatherDoubts {
+		at = now.Add(pause)
+	}
+	if !at.After(now) {
+		r.wake(now)
+		return
+	}
+	if r.due.After(now) && !r.due.After(at) {
+		return
+	}
+	r.due = at
+	time.AfterFunc(at.Sub(now), func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.due.Equal(at) {
+			r.wake(r.clock())
+		}
+	})
+}
+
+func (r *Relay) wake(now time.Time) {
+	r.woken, r.due = now, time.Time{}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/fanout/selection/selection.go
@@ -0,0 +1,252 @@
+package selection
+
+import (
+	"slices"
+	"time"
+
+	"wasabideal/internal/fanout/tree"
+)
+
+const (
+	// settleFor is how long after its start a balancer follows the voters in any case:
+	// they tell it all it needs, and voters that started with it have heard of most
+	// balancers by then. With 2 s the balancers of a fleet that restarted in turn, which
+	// were told each change meanwhile, were most of the voters' work.
+	settleFor = 500 * time.Millisecond
+	// avoidFor is how long a balancer that failed is not asked again.
+	avoidFor = 5 * time.Second
+	// raceFor is how long candidates have before the voters are asked instead of a parent
+	// that failed: a connection and an answer take some ms.
+	raceFor = 300 * time.Millisecond
+	// probeEvery is the time between two looks at other sources while a parent hears few
+	// voters, and probeFor how long the voters are asked each time. Each balancer adds up
+	// to as much again by its address, so that they do not all ask voters that are back.
+	probeEvery = 3 * time.Second
+	probeFor   = 1200 * time.Millisecond
+)
+
+// Settings of a selection.
+type Settings struct {
+	// Self is the call address of the balancer.
+	Self  string
+	Shape tree.Shape
+	// StaleAfter is how old what is heard of most voters may become.
+	StaleAfter time.Duration
+	// Jitter between 0 and 1 differs between balancers.
+	Jitter float64
+}
+
+// Sources are whom a balancer is to ask.
+type Sources struct {
+	// Voters says that voters are asked, and Few that those named in the settings suffice:
+	// the balancer is about to follow another one.
+	Voters, Few bool
+	// Parents are the balancers that are asked, the one that is followed first.
+	Parents []string
+}
+
+// Reason says why a balancer changed whom it follows.
+type Reason string
+
+// The reasons.
+const (
+	Joined Reason = "candidate answers"
+	Failed Reason = "parent does not answer"
+	Stale  Reason = "parent hears fewer voters"
+	Moved  Reason = "place in the zone changed"
+	Root   Reason = "place at the top of the zone"
+)
+
+// Change is a change of whom a balancer follows; no parent means the voters.
+type Change struct {
+	Parent string
+	Reason Reason
+}
+
+// Selection is the state of one balancer's choice.
+type Selection struct {
+	settings Settings
+	started  time.Time
+	place    tree.Place
+	placed   bool
+	// parent is who is followed, empty while the voters are.
+	parent string
+	// lost is when the last parent failed, zero before the first one.
+	lost time.Time
+	// heard is how many voters each source hears, that of the voters under "".
+	heard map[string]int
+	// poor is since when too few voters were heard, zero while enough are.
+	poor time.Time
+	// avoided is until when a balancer is not asked.
+	avoided map[string]time.Time
+	// enough is a majority of the voters.
+	enough int
+	change *Change
+}
+
+// New returns a selection that begins with the voters.
+func New(s Settings, now time.Time) *Selection {
+	return &Selection{settings: s, started: now, heard: map[string]int{}, avoided: map[string]time.Time{}, enough: 1}
+}
+
+// Fleet takes the call addresses of the zone's balancers.
+func (s *Selection) Fleet(now time.Time, zone []string) {
+	s.place, s.placed = s.settings.Shape.Of(s.settings.Self, zone), true
+	if s.place.Level == 0 && s.parent != "" {
+		s.follow(now, "", Root)
+	}
+}
+
+// Level is the balancer's level in the tree.
+func (s *Selection) Level() int { return s.place.Level }
+
+// Parent is who is followed, empty for the voters.
+func (s *Selection) Parent() string { return s.parent }
+
+// Changed returns the last change once.
+func (s *Selection) Changed() (Change, bool) {
+	c := s.change
+	s.change = nil
+	if c == nil {
+		return Change{}, false
+	}
+	return *c, true
+}
+
+// Voters notes how many of how many voters answer here.
+func (s *Selection) Voters(now time.Time, answering, all int) {
+	s.enough = all/2 + 1
+	s.heard[""] = answering
+	if s.parent == "" {
+		s.measure(now, answering)
+	}
+}
+
+// measure notes since when the source that is followed hears few voters.
+func (s *Selection) measure(now time.Time, heard int) {
+	if heard >= s.enough {
+		s.poor = time.Time{}
+	} else if s.poor.IsZero() {
+		s.poor = now
+	}
+}
+
+// Answered notes an answer of another balancer, with how many voters it has heard lately.
+func (s *Selection) Answered(now time.Time, from string, heard int) {
+	s.heard[from] = heard
+	switch {
+	case from == s.parent:
+		s.measure(now, heard)
+	case s.place.Level == 0 || !slices.Contains(s.place.Candidates, from):
+	case s.parent == "" && (heard >= s.enough || heard > 0 && heard >= s.heard[""]):
+		s.follow(now, from, Joined)
+	case s.parent == "":
+		s.avoid(now, from)
+	case s.misplaced() && heard >= min(s.heard[s.parent], s.enough):
+		s.follow(now, from, Moved)
+	case heard > s.heard[s.parent]:
+		s.follow(now, from, Stale)
+	default:
+		s.avoid(now, from)
+	}
+}
+
+// Failed notes that a balancer did not answer, or refused.
+func (s *Selection) Failed(now time.Time, from string) {
+	delete(s.heard, from)
+	s.avoid(now, from)
+	if from == s.parent {
+		s.lost = now
+		s.follow(now, "", Failed)
+	}
+}
+
+func (s *Selection) avoid(now time.Time, address string) { s.avoided[address] = now.Add(avoidFor) }
+
+func (s *Selection) follow(now time.Time, parent string, why Reason) {
+	s.parent, s.poor = parent, time.Time{}
+	s.change = &Change{Parent: parent, Reason: why}
+	s.measure(now, s.heard[parent])
+}
+
+// misplaced says that the parent is none of the candidates any more.
+func (s *Selection) misplaced() bool {
+	return s.parent != "" && !slices.Contains(s.place.Candidates, s.parent)
+}
+
+func (s *Selection) stale(now time.Time) bool {
+	return !s.poor.IsZero() && now.Sub(s.poor) > s.settings.StaleAfter
+}
+
+// Decide returns whom to ask now.
+func (s *Selection) Decide(now time.Time) Sources {
+	s.forget(now)
+	switch {
+	case !s.placed || now.Sub(s.started) < settleFor:
+		return Sources{Voters: true, Few: !s.placed || s.place.Level > 0}
+	case s.place.Level == 0:
+		return s.root(now)
+	case s.parent == "":
+		return s.orphan(now)
+	case s.misplaced():
+		return Sources{Parents: append([]string{s.parent}, s.candidates(now, 1)...)}
+	case s.stale(now):
+		return Sources{Voters: s.probes(now), Parents: append([]string{s.parent}, s.candidates(now, 1)...)}
+	default:
+		return Sources{Parents: []string{s.parent}}
+	}
+}
+
+// root asks the voters, and another root beside where most of them do not answer here.
+func (s *Selection) root(now time.Time) Sources {
+	out := Sources{Voters: true}
+	if s.stale(now) {
+		out.Parents = s.candidates(now, 1)
+	}
+	return out
+}
+
+// orphan looks for a parent.
+func (s *Selection) orphan(now time.Time) Sources {
+	if s.lost.IsZero() || now.Sub(s.lost) >= raceFor {
+		return Sources{Voters: true, Few: s.lost.IsZero(), Parents: s.candidates(now, 1)}
+	}
+	out := Sources{Parents: s.candidates(now, 2)}
+	out.Voters = len(out.Parents) == 0
+	return out
+}
+
+// probes says that the voters are asked for a moment, to see whether more of them answer
+// here than the parent hears. Where they do, the parent is left.
+func (s *Selection) probes(now time.Time) bool {
+	since := now.Sub(s.poor) - s.settings.StaleAfter
+	every := probeEvery + time.Duration(s.settings.Jitter*float64(probeEvery))
+	return since%every > every-probeFor
+}
+
+// Probed compares the voters that answer here with what the parent hears.
+func (s *Selection) Probed(now time.Time) {
+	if s.parent != "" && s.stale(now) && s.heard[""] > s.heard[s.parent] {
+		s.avoid(now, s.parent)
+		s.lost = now.Add(-raceFor)
+		s.follow(now, "", Stale)
+	}
+}
+
+func (s *Selection) candidates(now time.Time, most int) []string {
+	var out []string
+	for _, c := range s.place.Candidates {
+		if c != s.parent && len(out) < most && !now.Before(s.avoided[c]) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (s *Selection) forget(now time.Time) {
+	for a, until := range s.avoided {
+		if !now.Before(until) {
+			delete(s.avoided, a)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fanout/selection/selection_test.go
@@ -0,0 +1,221 @@
+package selection_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/fanout/selection"
+	"wasabideal/internal/fanout/tree"
+)
+
+var (
+	epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	shape = tree.Shape{Roots: 4, Fanout: 4}
+)
+
+const (
+	voters     = 5
+	staleAfter = 2 * time.Second
+)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+func zone(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("10.1.0.%d:7720", i+1)
+	}
+	return out
+}
+
+// onLevel returns a balancer of a zone on a level of the tree.
+func onLevel(t *testing.T, level int, all []string) string {
+	for _, a := range all {
+		if shape.Of(a, all).Level == level {
+			return a
+		}
+	}
+	require.Fail(t, "no such level")
+	return ""
+}
+
+// newChild returns the selection of a balancer below the top that has started some time
+// ago, and its candidates.
+func newChild(t *testing.T) (*selection.Selection, []string) {
+	all := zone(20)
+	self := onLevel(t, 1, all)
+	s := selection.New(selection.Settings{Self: self, Shape: shape, StaleAfter: staleAfter}, epoch.Add(-time.Minute))
+	s.Voters(epoch, voters, voters)
+	s.Fleet(epoch, all)
+	return s, shape.Of(self, all).Candidates
+}
+
+// newFollowing returns one that follows its first candidate.
+func newFollowing(t *testing.T) (*selection.Selection, []string) {
+	s, c := newChild(t)
+	s.Answered(epoch, c[0], voters)
+	require.Equal(t, selection.Sources{Parents: c[:1]}, s.Decide(epoch))
+	s.Voters(epoch, 0, voters)
+	return s, c
+}
+
+func TestVotersAreFollowedUntilAParentAnswers(t *testing.T) {
+	s, c := newChild(t)
+	require.Equal(t, selection.Sources{Voters: true, Few: true, Parents: c[:1]}, s.Decide(epoch))
+	s.Answered(epoch, c[0], 0)
+	require.Equal(t, c[1:2], s.Decide(epoch).Parents, "one that has heard no voter is no parent")
+	s.Answered(epoch, c[1], voters)
+	require.Equal(t, selection.Sources{Parents: c[1:2]}, s.Decide(epoch))
+	change, changed := s.Changed()
+	require.True(t, changed)
+	require.Equal(t, selection.Change{Parent: c[1], Reason: selection.Joined}, change)
+}
+
+func TestVotersAreFollowedJustAfterAStart(t *testing.T) {
+	all := zone(20)
+	s := selection.New(selection.Settings{Self: onLevel(t, 1, all), Shape: shape, StaleAfter: staleAfter}, epoch)
+	s.Fleet(epoch, all)
+	require.Equal(t, selection.Sources{Voters: true, Few: true}, s.Decide(at(300*time.Millisecond)))
+	require.NotEmpty(t, s.Decide(at(time.Second)).Parents)
+}
+
+func TestSmallZonesFollowVotersOnly(t *testing.T) {
+	all := zone(4)
+	for _, self := range all {
+		s := selection.New(selection.Settings{Self: self, Shape: shape, StaleAfter: staleAfter}, epoch.Add(-time.Minute))
+		s.Voters(epoch, voters, voters)
+		s.Fleet(epoch, all)
+		require.Equal(t, selection.Sources{Voters: true}, s.Decide(epoch))
+	}
+}
+
+// Symptom: balancers below one that lost power heard of no change for seconds.
+// Events: the parent fails, and the next candidate is without power, too.
+// Cause: candidates were asked one after the other, each for its whole timeout.
+func TestTwoCandidatesAtOnceThenTheVoters(t *testing.T) {
+	s, c := newFollowing(t)
+	s.Failed(epoch, c[0])
+	require.Equal(t, selection.Sources{Parents: c[1:3]}, s.Decide(epoch))
+	later := at(400 * time.Millisecond)
+	require.Equal(t, selection.Sources{Voters: true, Parents: c[1:2]}, s.Decide(later))
+	s.Answered(later, c[1], voters)
+	require.Equal(t, selection.Sources{Parents: c[1:2]}, s.Decide(later))
+}
+
+func TestAllOfTheLevelAboveGone(t *testing.T) {
+	s, c := newFollowing(t)
+	for _, x := range c {
+		s.Failed(epoch, x)
+	}
+	require.Equal(t, selection.Sources{Voters: true}, s.Decide(epoch), "at once where nobody is left to ask")
+	require.Equal(t, c[:1], s.Decide(at(6*time.Second)).Parents, "they are tried again")
+}
+
+// Symptom: balancers heard of departures too late although all their connections worked.
+// Events: the parent lives and answers, and is cut off from the voters.
+// Cause: a parent was left only once it did not answer.
+func TestStaleParentIsLeftForOneThatHearsMore(t *testing.T) {
+	s, c := newFollowing(t)
+	s.Answered(epoch, c[0], 1)
+	require.Equal(t, c[:1], s.Decide(at(time.Second)).Parents)
+	later := at(staleAfter + 10*time.Millisecond)
+	s.Answered(later, c[0], 1)
+	require.Equal(t, c[:2], s.Decide(later).Parents, "the parent is asked until another is better")
+	s.Answered(later, c[1], voters)
+	require.Equal(t, selection.Sources{Parents: c[1:2]}, s.Decide(later))
+}
+
+// Symptom: all balancers of a zone asked voters that they could not reach, and met the
+// voters all at once when these were back.
+// Events: a zone is cut off, or all voters are down; every parent hears equally few.
+// Cause: a parent was left for being stale, whatever the others heard.
+func TestNobodyLeavesWhereNoneHearsMore(t *testing.T) {
+	s, c := newFollowing(t)
+	asked := 0
+	for d := time.Duration(0); d < time.Minute; d += 100 * time.Millisecond {
+		s.Voters(at(d), 0, voters)
+		s.Probed(at(d))
+		sources := s.Decide(at(d))
+		require.Equal(t, c[0], sources.Parents[0])
+		for _, p := range sources.Parents {
+			s.Answered(at(d), p, 1)
+		}
+		if sources.Voters {
+			asked++
+		}
+	}
+	require.Equal(t, c[0], s.Parent())
+	require.Less(t, asked, 300, "voters are asked less than half of the time")
+	require.NotZero(t, asked)
+}
+
+func TestVotersThatAnswerHereAreFollowedWhereParentsHearFew(t *testing.T) {
+	s, c := newFollowing(t)
+	for d := time.Duration(0); s.Parent() != "" && d < 20*time.Second; d += 100 * time.Millisecond {
+		sources := s.Decide(at(d))
+		for _, p := range sources.Parents {
+			s.Answered(at(d), p, 1)
+		}
+		answering := 0
+		if sources.Voters {
+			answering = voters
+		}
+		s.Voters(at(d), answering, voters)
+		s.Probed(at(d))
+	}
+	require.Empty(t, s.Parent())
+	require.True(t, s.Decide(at(20*time.Second)).Voters)
+	require.NotContains(t, c, s.Parent())
+}
+
+// Symptom: balancers that were cut off from all voters sent flows to upstreams that had
+// left, though other balancers of their zone knew.
+// Events: one at the top of its zone is cut off from the voters, and from nobody else.
+// Cause: it asked nobody else.
+func TestRootThatIsCutOffAsksAnother(t *testing.T) {
+	all := zone(20)
+	var self string
+	for _, a := range all {
+		if p := shape.Of(a, all); p.Level == 0 && len(p.Candidates) > 0 {
+			self = a
+		}
+	}
+	s := selection.New(selection.Settings{Self: self, Shape: shape, StaleAfter: staleAfter}, epoch.Add(-time.Minute))
+	s.Voters(epoch, voters, voters)
+	s.Fleet(epoch, all)
+	require.Equal(t, selection.Sources{Voters: true}, s.Decide(epoch))
+	s.Voters(epoch, 0, voters)
+	sources := s.Decide(at(staleAfter + time.Millisecond))
+	require.True(t, sources.Voters)
+	require.Len(t, sources.Parents, 1)
+	s.Answered(at(staleAfter+time.Millisecond), sources.Parents[0], voters)
+	require.Empty(t, s.Parent(), "it stays at the top")
+	require.Equal(t, sources, s.Decide(at(staleAfter+2*time.Millisecond)), "and goes on asking")
+}
+
+func TestBalancerThatRisesToTheTopFollowsVoters(t *testing.T) {
+	s, _ := newFollowing(t)
+	s.Fleet(epoch, nil)
+	require.Equal(t, selection.Sources{Voters: true}, s.Decide(epoch))
+	change, _ := s.Changed()
+	require.Equal(t, selection.Root, change.Reason)
+}
+
+func TestParentThatIsNoCandidateAnyMoreIsReplacedByOne(t *testing.T) {
+	s, c := newFollowing(t)
+	without := []string{}
+	for _, a := range zone(20) {
+		if a != c[0] {
+			without = append(without, a)
+		}
+	}
+	s.Fleet(epoch, without)
+	sources := s.Decide(epoch)
+	require.Len(t, sources.Parents, 2)
+	require.Equal(t, c[0], sources.Parents[0])
+	s.Answered(epoch, sources.Parents[1], voters)
+	require.Equal(t, sources.Parents[1], s.Parent())
+}
--- /dev/null
+++ b/internal/fanout/tree/tree_test.go
@@ -0,0 +1,126 @@
+package tree_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"wasabideal/internal/fanout/tree"
+)
+
+var shape = tree.Shape{Small: 8, Roots: 4, Fanout: 8}
+
+func zone(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("10.1.%d.%d:7720", i/250, i%250+1)
+	}
+	return out
+}
+
+func TestLevelsGrowAsTheLogarithm(t *testing.T) {
+	for _, c := range []struct{ balancers, levels, roots int }{
+		{1, 1, 1},
+		{8, 1, 8},
+		{9, 2, 4},
+		{36, 2, 4},
+		{37, 3, 4},
+		{600, 4, 4},
+	} {
+		t.Run(fmt.Sprint(c.balancers), func(t *testing.T) {
+			all := zone(c.balancers)
+			levels := map[int]int{}
+			for _, a := range all {
+				levels[shape.Of(a, all).Level]++
+			}
+			require.Len(t, levels, c.levels)
+			require.Equal(t, c.roots, levels[0])
+			require.Len(t, shape.Top(all), c.roots)
+		})
+	}
+}
+
+func TestTopAreThoseWhoFollowVoters(t *testing.T) {
+	all := zone(40)
+	top := shape.Top(all)
+	for _, a := range all {
+		require.Equal(t, shape.Of(a, all).Level == 0, top[a])
+	}
+}
+
+// Hashes spread followers unevenly; a balancer takes up to twice the usual number.
+func TestFollowersAreSpread(t *testing.T) {
+	all := zone(600)
+	followers := map[string]int{}
+	for _, a := range all {
+		if p := shape.Of(a, all); p.Level > 0 {
+			followers[p.Candidates[0]]++
+		}
+	}
+	most := 0
+	for _, n := range followers {
+		most = max(most, n)
+	}
+	require.LessOrEqual(t, most, 2*shape.Fanout)
+}
+
+func TestOneThatJoinsMovesFew(t *testing.T) {
+	before, after := zone(100), zone(101)
+	moved := 0
+	for _, a := range before {
+		x, y := shape.Of(a, before), shape.Of(a, after)
+		if x.Level > 0 && (y.Level == 0 || x.Candidates[0] != y.Candidates[0]) {
+			moved++
+		}
+	}
+	require.LessOrEqual(t, moved, 15)
+}
+
+// Symptom: some balancers heard of no change any more, though all of them had a parent
+// that answered.
+// Events: balancers join and leave, and each has a list of its own.
+// Cause: two of them followed each other, each above the other in its own list.
+func TestNoRingWhateverEachBelieves(t *testing.T) {
+	all := zone(60)
+	rapid.Check(t, func(t *rapid.T) {
+		follows := map[string][]string{}
+		for _, a := range all {
+			believed := rapid.SliceOfDistinct(rapid.SampledFrom(all), rapid.ID).Draw(t, a)
+			follows[a] = shape.Of(a, believed).Candidates
+		}
+		seen := map[string]int{}
+		var visit func(a string) bool
+		visit = func(a string) bool {
+			if seen[a] != 0 {
+				return seen[a] == 2
+			}
+			seen[a] = 1
+			for _, c := range follows[a] {
+				if !visit(c) {
+					return false
+				}
+			}
+			seen[a] = 2
+			return true
+		}
+		for _, a := range all {
+			if !visit(a) {
+				t.Fatalf("a ring through %s", a)
+			}
+		}
+	})
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{40, 600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			all := zone(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				shape.Of(all[n/2], all)
+			}
+		})
+	}
+}
--- a/internal/silence/doubts/doubts.go
+++ b/internal/silence/doubts/doubts.go
@@ -15,8 +15,9 @@
 }
 
 type told struct {
-	at     time.Time
-	doubts []word.Doubt
+	// at is when the voter said so, contact when it was last in touch.
+	at, contact time.Time
+	doubts      []word.Doubt
 }
 
 // Doubts are the voters' words; one goroutine owns them.
@@ -30,12 +31,17 @@
 
 // Take notes all that one voter doubts, and reports whether that may change the whole.
 func (d *Doubts) Take(now time.Time, voter string, all []word.Doubt) bool {
+	return d.Hear(now, now, voter, all)
+}
+
+// Hear notes the same for what was passed on: the voter itself was in touch earlier.
+func (d *Doubts) Hear(now, contact time.Time, voter string, all []word.Doubt) bool {
 	before := d.told[voter]
 	if len(all) == 0 {
 		delete(d.told, voter)
 		return len(before.doubts) > 0
 	}
-	d.told[voter] = told{at: now, doubts: all}
+	d.told[voter] = told{at: now, contact: contact, doubts: all}
 	return true
 }
 
@@ -44,7 +50,7 @@
 func (d *Doubts) Expired(now time.Time) bool {
 	expired := false
 	for voter, t := range d.told {
-		if now.Sub(t.at) > d.lease {
+		if now.Sub(t.contact) > d.lease {
 			delete(d.told, voter)
 			expired = true
 		}
--- /dev/null
+++ b/internal/silence/sample/sample_test.go
@@ -0,0 +1,69 @@
+package sample_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/silence/accrual"
+	"wasabideal/internal/silence/sample"
+	"wasabideal/internal/silence/word"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func missed(incarnation uint64) word.Event {
+	return word.Event{Incarnation: incarnation, Zone: "a", Age: 190 * time.Millisecond, Weight: 4.6}
+}
+
+func answered(incarnation uint64, age time.Duration) word.Event {
+	return word.Event{Incarnation: incarnation, Zone: "a", Age: age, Answered: true}
+}
+
+// Symptom: voters were busy with reports when some upstreams lost power.
+// Events: each of 80 balancers reports ten packets to each of twenty silent upstreams.
+// Cause: all reports were passed on, though a few suffice.
+func TestAFewReportsOfEachUpstreamArePassedOn(t *testing.T) {
+	s := sample.New()
+	passed := 0
+	for b := range 80 {
+		for u := range uint64(20) {
+			for range 10 {
+				passed += len(s.Take(epoch, fmt.Sprint("b", b), []word.Event{missed(u + 1)}))
+			}
+		}
+	}
+	require.Equal(t, 20*6, passed)
+	require.NotEmpty(t, s.Take(epoch.Add(time.Second), "b1", []word.Event{missed(1)}), "later ones are news")
+}
+
+func TestWhatIsPassedOnSufficesAsEvidence(t *testing.T) {
+	s, a := sample.New(), accrual.New()
+	for _, from := range []string{"b1", "b1", "b1", "b1", "b2", "b2", "b3"} {
+		for _, e := range s.Take(epoch, from, []word.Event{missed(1)}) {
+			a.Note(epoch, from, e)
+		}
+	}
+	for now := epoch; now.Before(epoch.Add(300 * time.Millisecond)); now = now.Add(20 * time.Millisecond) {
+		a.Decide(now, 40)
+	}
+	for _, d := range a.Doubts(epoch.Add(300 * time.Millisecond)) {
+		require.Equal(t, d.Zone == "", d.Unresponsive, "the upstream is, its zone is not")
+	}
+	require.Len(t, a.Doubts(epoch), 2)
+}
+
+// Symptom: flows of an upstream that lives were reset.
+// Events: balancers see it answer, one after the other; packets to it were lost between.
+// Cause: later signs of life were held back with the earlier ones.
+func TestLaterSignsOfLifeArePassedOn(t *testing.T) {
+	s := sample.New()
+	now := epoch
+	for i := range 10 {
+		now = epoch.Add(time.Duration(i) * 25 * time.Millisecond)
+		require.Len(t, s.Take(now, fmt.Sprint("b", i), []word.Event{answered(1, 0)}), 1)
+	}
+	require.Empty(t, s.Take(now, "b1", []word.Event{answered(1, 5*time.Millisecond)}))
+}
--- a/internal/upstream/view/view.go
+++ b/internal/upstream/view/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -34,6 +35,8 @@
 type told struct {
 	directory.Notice
 	at time.Time
+	// life and version are the voter's when it said so.
+	life, version uint64
 	// until ends a notice that a restarted voter no longer vouches for; zero
 	// where it still does.
 	until time.Time
@@ -42,11 +45,32 @@
 type source struct {
 	life    uint64
 	contact time.Time
+	// changes are the latest notices of this life, for those who follow this balancer.
+	changes []change
 	// inherited is until when notices of an earlier life count.
 	inherited time.Time
 	notices   map[uint64]told
 }
 
+// change says that a notice on an incarnation came with a version of the voter.
+type change struct{ version, incarnation uint64 }
+
+// changesMost bounds the changes that are remembered of one voter. Whoever missed more
+// is told all that the voter said: 40 bytes an upstream, as 16 bytes are here for each.
+const changesMost = 1024
+
+// News is what one voter told, directly or through balancers that pass it on.
+type News struct {
+	// Voter names it, Life tells its restarts apart.
+	Voter string
+	Life  uint64
+	// Version is that of the voter's list of upstreams with these notices.
+	Version uint64
+	// Contact is when the voter said so at the latest.
+	Contact time.Time
+	Notices []directory.Notice
+}
+
 // View is what one balancer was told; one goroutine owns it.
 type View struct {
 	settings Settings
@@ -78,13 +102,18 @@
 // restarted empty takes nothing away: upstreams that it has not heard yet stay
 // for a while, and others may have heard them.
 func (v *View) Take(now time.Time, name string, life uint64, notices []directory.Notice) {
-	s := v.sources[name]
+	v.Hear(now, News{Voter: name, Life: life, Contact: now, Notices: notices})
+}
+
+// Hear notes what a voter told some time ago; see Take.
+func (v *View) Hear(now time.Time, news News) {
+	s := v.sources[news.Voter]
 	if s == nil {
-		s = &source{life: life, notices: map[uint64]told{}}
-		v.sources[name] = s
+		s = &source{life: news.Life, notices: map[uint64]told{}}
+		v.sources[news.Voter] = s
 	}
-	if s.life != life {
-		s.life = life
+	if s.life != news.Life {
+		s.life, s.changes = news.Life, nil
 		s.inherited = now.Add(v.settings.InheritFor)
 		for id, t := range s.notices {
 			t.until = s.inherited
@@ -92,9 +121,11 @@
 		}
 		v.whole = true
 	}
-	s.contact = now
-	for _, n := range notices {
-		t := told{Notice: n, at: now}
+	if news.Contact.After(s.contact) {
+		s.contact = news.Contact
+	}
+	for _, n := range news.Notices {
+		t := told{Notice: n, at: now, life: news.Life, version: news.Version}
 		if n.Recalled {
 			// The voter forgets it without a word unless it hears it itself. All that
 			// one voter recalled lapses together, or the end of one would be missed.
@@ -105,14 +136,59 @@
 		}
 		id := n.Upstream.Incarnation
 		s.notices[id] = t
+		s.changes = append(s.changes, change{version: news.Version, incarnation: id})
 		v.changed[id] = true
 		if n.Upstream.Born > v.born[id] {
 			v.born[id] = n.Upstream.Born
 		}
 	}
+	if len(s.changes) > 2*changesMost {
+		s.changes = slices.Clone(s.changes[len(s.changes)-changesMost:])
+	}
 	v.forget(now)
 }
 
+// Since returns what a voter told in a life after a version, as the voter would tell it
+// now. What it only recalled is left out: that lapses by the clock of whoever was told.
+func (v *View) Since(now time.Time, voter string, life, version uint64) []directory.Notice {
+	s := v.sources[voter]
+	if s == nil || s.life != life {
+		return nil
+	}
+	var out []directory.Notice
+	for _, id := range s.changedSince(version) {
+		t := s.notices[id]
+		if t.life != life || t.version <= version || t.Recalled {
+			continue
+		}
+		n := t.Notice
+		n.Cold = max(n.Cold-now.Sub(t.at), 0)
+		n.Age += now.Sub(t.at)
+		out = append(out, n)
+	}
+	return out
+}
+
+// changedSince returns the incarnations of which a voter told after a version, each once.
+func (s *source) changedSince(version uint64) []uint64 {
+	first := len(s.changes)
+	if first == 0 {
+		return nil
+	}
+	for first > 0 && s.changes[first-1].version > version {
+		first--
+	}
+	if first == 0 {
+		// The changes may begin later than the version asked for.
+		return slices.Collect(maps.Keys(s.notices))
+	}
+	seen := make(map[uint64]bool, len(s.changes)-first)
+	for _, c := range s.changes[first:] {
+		seen[c.incarnation] = true
+	}
+	return slices.Collect(maps.Keys(seen))
+}
+
 // forget drops what has not counted for long.
 func (v *View) forget(now time.Time) {
 	if now.Sub(v.forgotAt) < v.settings.ForgetAfter/10 {
--- a/internal/upstream/view/view_test.go
+++ b/internal/upstream/view/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -251,3 +252,84 @@
 		require.False(t, x.Live)
 	}
 }
+
+func numbered(incarnation, sequence uint64) directory.Notice {
+	n := notice(sequence, upstream.Ready)
+	n.Upstream.Incarnation = incarnation
+	return n
+}
+
+func incarnations(all []directory.Notice) []uint64 {
+	var out []uint64
+	for _, n := range all {
+		out = append(out, n.Upstream.Incarnation)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func hear(v *view.View, at time.Time, life, version uint64, notices ...directory.Notice) {
+	v.Hear(at, view.News{Voter: "v1", Life: life, Version: version, Contact: at, Notices: notices})
+}
+
+func TestWhatFollowersMissed(t *testing.T) {
+	v := newView()
+	hear(v, epoch, 1, 5, numbered(1, 1), numbered(2, 1))
+	hear(v, after(1), 1, 6, numbered(3, 1))
+	require.Equal(t, []uint64{1, 2, 3}, incarnations(v.Since(after(1), "v1", 1, 0)))
+	require.Equal(t, []uint64{3}, incarnations(v.Since(after(1), "v1", 1, 5)))
+	require.Empty(t, v.Since(after(1), "v1", 1, 6))
+	require.Empty(t, v.Since(after(1), "v1", 2, 0), "another life")
+	require.Empty(t, v.Since(after(1), "v2", 1, 0))
+	hear(v, after(2), 1, 7, numbered(1, 9))
+	require.Equal(t, []uint64{1, 3}, incarnations(v.Since(after(2), "v1", 1, 5)))
+}
+
+// Symptom: a follower kept an upstream of a voter's earlier life, or took it for new.
+// Events: the voter restarts; a balancer passes on what it said.
+// Cause: notices of both lives were passed on as one.
+func TestOnlyThePresentLifeIsPassedOn(t *testing.T) {
+	v := newView()
+	hear(v, epoch, 1, 5, numbered(1, 1))
+	hear(v, after(1), 2, 1, numbered(2, 1))
+	require.Equal(t, []uint64{2}, incarnations(v.Since(after(1), "v1", 2, 0)))
+	recalled := numbered(3, 1)
+	recalled.Recalled = true
+	hear(v, after(1), 2, 2, recalled)
+	require.Equal(t, []uint64{2}, incarnations(v.Since(after(1), "v1", 2, 0)), "what lapses by itself is not passed on")
+}
+
+func TestNoticesGrowOlderWhileTheyWait(t *testing.T) {
+	v := newView()
+	n := numbered(1, 1)
+	n.Cold, n.Age = 3*time.Second, time.Second
+	hear(v, epoch, 1, 1, n)
+	passed := v.Since(after(2), "v1", 1, 0)[0]
+	require.Equal(t, time.Second, passed.Cold)
+	require.Equal(t, 3*time.Second, passed.Age)
+	require.Zero(t, v.Since(after(9), "v1", 1, 0)[0].Cold)
+}
+
+// What was missed longest ago is told whole.
+func TestWhoMissedMuchIsToldAll(t *testing.T) {
+	v := newView()
+	for n := range uint64(5000) {
+		hear(v, epoch, 1, n+1, numbered(n%50+1, n))
+	}
+	require.Len(t, v.Since(epoch, "v1", 1, 10), 50)
+	require.Len(t, v.Since(epoch, "v1", 1, 4995), 5)
+}
+
+// Symptom: upstreams of a zone that was cut off counted as alive everywhere.
+// Events: a balancer passes on what it heard of a voter before the cut.
+// Cause: a voter counted as in touch whenever anything was told of it.
+func TestContactIsThatOfTheVoterItself(t *testing.T) {
+	v := newView()
+	v.Hear(epoch, view.News{Voter: "v2", Life: 1, Version: 1, Contact: epoch})
+	hear(v, epoch, 1, 5, numbered(1, 1))
+	for s := range 6 {
+		v.Hear(after(s), view.News{Voter: "v1", Life: 1, Version: 5, Contact: epoch})
+		v.Hear(after(s), view.News{Voter: "v2", Life: 1, Version: 1, Contact: after(s)})
+	}
+	require.False(t, v.Targets(after(5))[0].Live)
+}
--- a/internal/wire/rpc/server.go
+++ b/internal/wire/rpc/server.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"net"
 	"reflect"
+	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/s2"
+	"github.com/samber/lo"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
 )
@@ -89,6 +91,7 @@
 type method struct {
 	token string
 	call  func(ctx context.Context, body []byte) (any, error)
+	calls *atomic.Int64
 }
 
 // Server answers calls; all methods are set before it serves.
@@ -104,7 +107,7 @@
 
 // Handle adds a method that needs the token; an empty token admits nobody.
 func Handle[In, Out any](s *Server, name, token string, f func(ctx context.Context, in In) (Out, error)) {
-	s.methods[name] = method{token: token, call: func(ctx context.Context, body []byte) (any, error) {
+	s.methods[name] = method{token: token, calls: &atomic.Int64{}, call: func(ctx context.Context, body []byte) (any, error) {
 		var in In
 		if err := cbor.Unmarshal(body, &in); err != nil {
 			return nil, fmt.Errorf("decode %s: %w", name, err)
@@ -144,9 +147,15 @@
 		s.denied(name)
 		return nil, &DeniedError{Method: name}
 	}
+	m.calls.Add(1)
 	return m.call(ctx, in.Body)
 }
 
+// Calls returns how often each method was called.
+func (s *Server) Calls() map[string]int64 {
+	return lo.MapValues(s.methods, func(m method, _ string) int64 { return m.calls.Load() })
+}
+
 // kindOf names the innermost error's type, which a caller may act on.
 func kindOf(err error) string {
 	for {
