--- a/internal/capacity/measure/cookie.go
+++ b/internal/capacity/measure/cookie.go
@@ -143,14 +143,23 @@
 }
 
 func questionMicros(size float64) (float64, error) {
+	d := cookieDirectory(int(size))
+	f := feed.New(1, d, func() time.Time { return cookieEpoch })
+	q := feed.Question{Life: 1, Version: d.Version()}
+	return callMicros(1, func(s *rpc.Server) { f.Serve(s, token) }, func(ctx context.Context, c *rpc.Client) error {
+		_, err := rpc.Call[feed.Question, feed.Answer](ctx, c, feed.SinceMethod, q)
+		return err
+	})
+}
+
+// callMicros returns the time of a call over loopback, both ends, for each of its parts.
+func callMicros(parts int, serve func(*rpc.Server), call func(context.Context, *rpc.Client) error) (float64, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return 0, err
 	}
-	d := cookieDirectory(int(size))
-	f := feed.New(1, d, func() time.Time { return cookieEpoch })
 	s := rpc.NewServer(func(string) {})
-	f.Serve(s, token)
+	serve(s)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	done := make(chan struct{})
@@ -165,12 +174,11 @@
 	}()
 	c := rpc.NewClient(l.Addr().String(), token)
 	defer c.Close()
-	q := feed.Question{Life: 1, Version: d.Version()}
 	const each = 200
 	var failed error
-	y := nanos(each, func() {
+	y := nanos(each*parts, func() {
 		for range each {
-			if _, err := rpc.Call[feed.Question, feed.Answer](ctx, c, feed.SinceMethod, q); err != nil {
+			if err := call(ctx, c); err != nil {
 				failed = err
 			}
 		}
--- /dev/null
+++ b/internal/capacity/measure/fanout.go
@@ -0,0 +1,139 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"wasabideal/internal/control/feed"
+	"wasabideal/internal/control/upstreams"
+	"wasabideal/internal/fanout/member"
+	"wasabideal/internal/fanout/origins"
+	"wasabideal/internal/fanout/relay"
+	"wasabideal/internal/fanout/tree"
+	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/upstream/directory"
+	"wasabideal/internal/upstream/handover"
+	"wasabideal/internal/upstream/home"
+	"wasabideal/internal/upstream/view"
+	"wasabideal/internal/wire/rpc"
+)
+
+// handedTogether is how many announcements are handed over in one call.
+const handedTogether = 20
+
+func fanoutMeasurements() []Measurement {
+	known := []float64{150, 1500, 21_000}
+	zone := []float64{8, 64, 600}
+	return []Measurement{
+		{Name: FollowMicros, Per: "upstream known", Unit: "us a follower's question without news, both ends", Sizes: known, Take: followMicros},
+		{Name: FollowBytes, Per: "voter", Unit: "bytes of a follower's question and its answer without news", Sizes: []float64{3, 5, 9}, Take: followBytes},
+		{Name: HandoverMicros, Per: "upstream known", Unit: "us an announcement of 20 in a call, both ends", Sizes: known, Take: handoverMicros},
+		{Name: FleetBytes, Per: "balancer of the zone", Unit: "bytes of the list", Sizes: zone, Take: fleetBytes},
+		{Name: PlaceMicros, Per: "balancer of the zone", Unit: "us to work out a place", Sizes: zone, Take: placeMicros},
+	}
+}
+
+func voterName(n int) string { return fmt.Sprintf("10.%d.0.12:7720", n+1) }
+
+// heard returns how far so many voters were heard.
+func heard(voters int) *origins.Origins {
+	o := origins.New()
+	for n := range voters {
+		o.Take(cookieEpoch, origins.Origin{Known: origins.Known{Voter: voterName(n), Life: 1 << 60, Version: 100_000, Doubts: 100}})
+	}
+	return o
+}
+
+// passesOn is a balancer that others follow.
+type passesOn struct {
+	origins *origins.Origins
+	view    *view.View
+}
+
+func (p passesOn) News(now time.Time, q relay.Question) (relay.Answer, bool) {
+	all, news := p.origins.After(now, q.Known)
+	for i, x := range all {
+		all[i].Notices = p.view.Since(now, x.Voter, x.Life, x.Version)
+	}
+	return relay.Answer{Origins: all}, news
+}
+
+func (passesOn) Leaving() bool { return false }
+
+const fiveVoters = 5
+
+func followMicros(size float64) (float64, error) {
+	p := passesOn{origins: heard(fiveVoters), view: view.New(view.Settings{ContactLease: time.Hour, ForgetAfter: time.Hour})}
+	for n := range fiveVoters {
+		var notices []directory.Notice
+		for u := range int(size) / fiveVoters {
+			notices = append(notices, directory.Notice{Upstream: cookieUpstream(u*fiveVoters + n)})
+		}
+		p.view.Hear(cookieEpoch, view.News{Voter: voterName(n), Life: 1 << 60, Version: 100_000, Contact: cookieEpoch, Notices: notices})
+	}
+	r := relay.New(p, func() time.Time { return cookieEpoch }, 1)
+	q := relay.Question{From: "10.1.0.10:7720", Known: p.origins.Known(cookieEpoch)}
+	return callMicros(1, func(s *rpc.Server) { r.Serve(s, token) }, func(ctx context.Context, c *rpc.Client) error {
+		_, err := rpc.Call[relay.Question, relay.Answer](ctx, c, relay.SinceMethod, q)
+		return err
+	})
+}
+
+func followBytes(size float64) (float64, error) {
+	o := heard(int(size))
+	known := o.Known(cookieEpoch)
+	all, _ := o.After(cookieEpoch, known)
+	question, err := encodedBytes(relay.Question{From: "10.1.0.10:7720", Known: known})
+	if err != nil {
+		return 0, err
+	}
+	answer, err := encodedBytes(relay.Answer{Origins: all})
+	return question + answer, err
+}
+
+func handoverMicros(size float64) (float64, error) {
+	f := feed.New(1, cookieDirectory(int(size)), func() time.Time { return cookieEpoch })
+	u := upstreams.New(upstreams.Settings{
+		Token: token, Clock: func() time.Time { return cookieEpoch }, Answering: func() []home.Voter { return nil },
+	}, f, hclog.NewNullLogger())
+	sequence := uint64(1)
+	return callMicros(handedTogether, u.Serve, func(ctx context.Context, c *rpc.Client) error {
+		sequence++
+		var all []handover.Announcement
+		for n := range handedTogether {
+			x := cookieUpstream(n)
+			x.Sequence, x.State = sequence, upstream.Ready
+			all = append(all, handover.Announcement{Upstream: x})
+		}
+		_, err := rpc.Call[[]handover.Announcement, struct{}](ctx, c, upstreams.HandOverMethod, all)
+		return err
+	})
+}
+
+func zoneOf(size float64) []member.Member {
+	var out []member.Member
+	for n := range int(size) {
+		ip := fmt.Sprintf("10.1.%d.%d", n/250, n%250+1)
+		out = append(out, member.Member{Zone: "Port Tawfik", Address: ip + ":7720", Announcements: ip + ":7721"})
+	}
+	return out
+}
+
+func fleetBytes(size float64) (float64, error) { return encodedBytes(zoneOf(size)) }
+
+func placeMicros(size float64) (float64, error) {
+	var addresses []string
+	for _, m := range zoneOf(size) {
+		addresses = append(addresses, m.Address)
+	}
+	shape := tree.Shape{Small: 8, Roots: 4, Fanout: 8}
+	const each = 50
+	return nanos(each, func() {
+		for n := range each {
+			shape.Of(addresses[n%len(addresses)], addresses)
+		}
+	}) / 1000, nil
+}
--- a/internal/capacity/measure/flows.go
+++ b/internal/capacity/measure/flows.go
@@ -45,7 +45,7 @@
 	return after - before, nil
 }
 
-func member(i int) ownership.Member {
+func memberNamed(i int) ownership.Member {
 	return ownership.Member{
 		Name: fmt.Sprintf("b%04d", i), Zone: fmt.Sprintf("zone-%d", i%3), Start: 1,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 7400),
@@ -55,7 +55,7 @@
 func members(n int) []ownership.Member {
 	ms := make([]ownership.Member, 0, n)
 	for i := range n {
-		ms = append(ms, member(i))
+		ms = append(ms, memberNamed(i))
 	}
 	return ms
 }
@@ -70,7 +70,7 @@
 }
 
 func newRouter(memberCount, poolSize, flows int) *router.Router {
-	m := member(0)
+	m := memberNamed(0)
 	r := router.New(router.Settings{
 		Self: m.Name, Zone: m.Zone, Address: m.Address, MaxFlows: max(4*flows, 1000), Settle: time.Second,
 		OpeningTimeout: time.Hour, IdleTimeout: 24 * time.Hour, ClosingTimeout: time.Hour,
--- a/internal/capacity/measure/group.go
+++ b/internal/capacity/measure/group.go
@@ -54,7 +54,7 @@
 			},
 			Swim: swim.Settings{
 				Self:  swim.Member{Name: m.Name, Zone: m.Zone, Address: m.Address, Start: 1},
-				Seeds: []netip.AddrPort{member(0).Address, member(1).Address}, Token: groupToken, Seed: uint64(i),
+				Seeds: []netip.AddrPort{memberNamed(0).Address, memberNamed(1).Address}, Token: groupToken, Seed: uint64(i),
 				IndirectAfter: 200 * time.Millisecond, SuspectAfter: 500 * time.Millisecond, DeadAfter: time.Second,
 				ForgetAfter: 30 * time.Minute, BytesPerSecond: budget,
 			},
--- a/internal/capacity/measure/measure.go
+++ b/internal/capacity/measure/measure.go
@@ -36,6 +36,12 @@
 	ViewMicros         = "ViewMicros"
 	NewsBytes          = "NewsBytes"
 	QuestionMicros     = "QuestionMicros"
+
+	FollowMicros   = "FollowMicros"
+	FollowBytes    = "FollowBytes"
+	HandoverMicros = "HandoverMicros"
+	FleetBytes     = "FleetBytes"
+	PlaceMicros    = "PlaceMicros"
 )
 
 // Measurement takes one slope.
@@ -54,7 +60,7 @@
 // Run takes the measurements that are wanted at each of their sizes.
 func (s Suite) Run(wanted func(name string) bool) ([]slope.Slope, error) {
 	var slopes []slope.Slope
-	all := slices.Concat(flowMeasurements(), groupMeasurements(), configurationMeasurements(), controlMeasurements(), cookieMeasurements())
+	all := slices.Concat(flowMeasurements(), groupMeasurements(), configurationMeasurements(), controlMeasurements(), cookieMeasurements(), fanoutMeasurements())
 	for _, m := range all {
 		if !wanted(m.Name) {
 			continue
--- a/internal/capacity/page/lines.go
+++ b/internal/capacity/page/lines.go
@@ -57,7 +57,7 @@
 	measure.WholeBytes, measure.HeldBytes, measure.DeltaBytes, measure.DeltaMicros, measure.FanoutMicros,
 	measure.LogBytes, measure.RecoveryMillis, measure.AcceptMicros,
 	measure.CookieNanos, measure.CookieFlowBytes, measure.CookieOpeningNanos, measure.ViewMicros, measure.NewsBytes,
-	measure.QuestionMicros,
+	measure.QuestionMicros, measure.FollowMicros, measure.FollowBytes, measure.HandoverMicros, measure.FleetBytes, measure.PlaceMicros,
 }
 
 type line struct {
@@ -97,43 +97,6 @@
 	return append(ls, p.otherLines(s)...)
 }
 
-const (
-	// questionSeconds is how long a question waits for news.
-	questionSeconds = 0.8
-	// questionBytes is a question and its empty answer, with the connection's
-	// own packets.
-	questionBytes = 420.0
-	// flowSeconds is how long a silent flow is remembered.
-	flowSeconds = 15.0
-	// packetsPerOpening is the packets of a caller's flow after its opening.
-	packetsPerOpening = 12.0
-	// upstreamChanges is the comings and goings of each upstream a day.
-	upstreamChanges = 3.0
-)
-
-// cookieLines are a balancer and a voter where flows are placed by cookies, each
-// balancer listening to each of five voters.
-func (p Page) cookieLines(s size) []line {
-	const role = "Balancer by cookies (a daemon), and its voters"
-	openings := s.openings / s.daemons
-	flows := math.Min(openings*flowSeconds, 100_000)
-	news := s.targets * upstreamChanges / secondsPerDay
-	perUpstream := p.slopes[measure.NewsBytes].Gradient
-	delta := p.at(measure.DeltaBytes, s.addresses)
-	bytes := voterCount*questionBytes/questionSeconds + voterCount*news*perUpstream + delta*s.changeRate()
-	core := voterCount/questionSeconds*p.at(measure.QuestionMicros, s.targets)/2e6 +
-		news*p.at(measure.ViewMicros, s.targets/2)/1e6 + s.changeRate()*p.at(measure.DeltaMicros, s.addresses)/1e6
-	questions := s.daemons / questionSeconds
-	return []line{
-		{role, "flows remembered", "openings a second x 15 s, 100,000 at most", "only for load and silence; none is needed to forward", flows, 0},
-		{role, "core share of packets", "openings a second x (CookieOpeningNanos + 12 x CookieNanos)", "a cookie names the upstream (internal/cookie/router)", openings * (p.at(measure.CookieOpeningNanos, s.targets/2) + packetsPerOpening*p.at(measure.CookieNanos, flows)) / 1e9, 0},
-		{role, "control, bytes a second", "5 x 420 bytes / 0.8 s + 5 x upstreams' changes x NewsBytes + DeltaBytes x changes", "long questions to all voters; configurations from one", bytes, bytesLimit},
-		{role, "control, core share", "5 questions / 0.8 s x QuestionMicros / 2 + upstreams' changes x ViewMicros + changes x DeltaMicros", "joined view of the voters' words", core, coreShare},
-		{role, "control, memory bytes", "5 x NewsBytes(upstreams) x 4 + CookieFlowBytes + HeldConfigurationBytes x 2", "what each voter told, and flows remembered", voterCount*4*p.at(measure.NewsBytes, s.targets) + p.at(measure.CookieFlowBytes, flows) + 2*p.at(measure.HeldBytes, s.addresses), memoryLimit},
-		{role, "voter, core share of questions", "daemons / 0.8 s x QuestionMicros / 2", "relays between voters and daemons: not built", questions * p.at(measure.QuestionMicros, s.targets) / 2e6, 1},
-	}
-}
-
 func (p Page) balancerLines(s size) []line {
 	delta := p.at(measure.DeltaBytes, s.addresses)
 	gossip := p.gossipBytes(s)
--- a/internal/capacity/page/text.go
+++ b/internal/capacity/page/text.go
@@ -41,19 +41,18 @@
 6. **The roster of balancers that remember request keys.** One for the whole
    fleet today; at 4,300 restarts a day it changes every 10 s, and each change
    must settle before the next. It has to become one a group.
-7. **All daemons listening to all voters**, where flows are placed by cookies.
-   Five voters bear the questions of the plan's daemons (see the lines by
-   cookies), but regions that lose each other would lose their voters too:
-   daemons must listen to relays of their zone. Not built yet. Measured with 290
-   balancers, six voters of 0.24 cores each and 3,000 upstreams: a voter takes 32 %
-   of its processor, the busiest 58 %, with 1.1 MB/s and 1,331 connections. Both
-   grow as the fleet: voters of that size end at some 500 balancers.
-8. **Reports of silence**, where flows are placed by cookies: 1.6 kB/s at most from a
-   balancer to each voter and 1.6 kB for each answer to it that names 64 subjects, only
-   while something is silent. *Worked out:* with five voters 8 kB/s of the 14 allowed,
-   for the seconds in which upstreams fall silent. 3,200 balancers would bring a voter
-   128,000 events a second then: relays have to add up what their followers report.
-   Not built yet, and not measured beyond 81 balancers.
+7. **Restarts of all at once**, where flows are placed by cookies. A balancer that starts
+   asks one voter of its settings, and holds that connection until a parent answers; an
+   upstream whose balancer ended turns to a voter once. At 3,200 balancers and 21,000
+   upstreams that start within a second a voter answers some 640 balancers with 40 bytes
+   for each upstream that it hears, 110 MB in all, five seconds of a link of 170 Mbit/s
+   before compression. *Worked out, not played.* Voters' descriptors bear it (4,096 each).
+8. **Regions that lose each other**, where flows are placed by cookies. The balancers of a
+   side go on with the voters of that side and with what they have heard; a region without
+   a voter hears of no departure meanwhile. Five voters for seven regions leave two without
+   one: their zones go on with what they know, and new upstreams there are not heard until
+   the regions meet again. More voters that hear upstreams and do not vote would mend it:
+   not built.
 9. **Whole configurations after a restart.** A daemon without a disk takes all of
    it; with a disk, deltas.
 
--- a/internal/control/upstreams/upstreams.go
+++ b/internal/control/upstreams/upstreams.go
@@ -66,6 +66,8 @@
 	Known, Voting func() []string
 	// Shape is that of the trees of balancers, to which upstreams are referred.
 	Shape tree.Shape
+	// AnnounceEvery is the time between two announcements of an upstream.
+	AnnounceEvery time.Duration
 	// Answering returns the voters that answer, this one among them.
 	Answering func() []home.Voter
 }
@@ -146,7 +148,7 @@
 	if to == "" || to == u.settings.Self {
 		return false
 	}
-	err := u.handovers(to).Add(ctx, handover.Gather(1, false), a)
+	err := u.handovers(to).Add(ctx, handover.Gather(u.settings.AnnounceEvery, 1, false), a)
 	if err != nil {
 		u.log.Debug("announcement not handed over", "Address", to, "Error", err)
 	}
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -63,6 +63,8 @@
 	// FirstElection is the most silence before the first vote after a start; 0
 	// waits for a whole Election.
 	FirstElection time.Duration
+	// AnnounceEvery is the time between two announcements of an upstream.
+	AnnounceEvery time.Duration
 	// SilentAfter is the time without an announcement after which an upstream
 	// counts as silent.
 	SilentAfter time.Duration
@@ -134,7 +136,7 @@
 	c.upstreams = upstreams.New(upstreams.Settings{
 		Token: c.settings.GroupToken, Clock: c.settings.Clock, Self: c.Advertised(),
 		Known: c.voter.Members, Voting: c.voter.Voting, Shape: c.settings.Shape,
-		Answering: func() []home.Voter {
+		AnnounceEvery: c.settings.AnnounceEvery, Answering: func() []home.Voter {
 			return append(c.follower.Voters(), home.Voter{Address: c.Advertised(), Zone: c.settings.Zone})
 		},
 	}, c.feed, c.log)
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -67,6 +67,8 @@
 	// Rpc is the address for calls of other balancers, empty where none follows this one,
 	// and Announcements the one at which upstreams are to announce themselves here.
 	Rpc, Announcements string
+	// AnnounceEvery is the time between two announcements of an upstream.
+	AnnounceEvery time.Duration
 	// Shape is that of the tree of the zone's balancers.
 	Shape tree.Shape
 	// StaleAfter is how old what another balancer passes on may become.
--- a/internal/daemon/cookie/fanout.go
+++ b/internal/daemon/cookie/fanout.go
@@ -205,7 +205,9 @@
 }
 
 // gather is how long announcements wait here for others.
-func (b *Balancer) gather(own bool) time.Duration { return handover.Gather(b.follower.Level(), own) }
+func (b *Balancer) gather(own bool) time.Duration {
+	return handover.Gather(b.settings.AnnounceEvery, b.follower.Level(), own)
+}
 
 // Refer returns the address to which an upstream is to announce itself from now on, where
 // that is no longer here: those of a balancer that stops would all turn to the voters at
--- a/internal/log/story/line.go
+++ b/internal/log/story/line.go
@@ -34,6 +34,7 @@
 	messageReadOnly     = "voter is read-only now"
 	messageDiskWorks    = "disk works again"
 	messageDropped      = "log lines dropped"
+	messageFollows      = "follows"
 )
 
 // wireLine is a log line as the processes write it.
--- a/internal/log/story/story.go
+++ b/internal/log/story/story.go
@@ -123,6 +123,7 @@
 	messageStart: true, messageLeaving: true, messageStopped: true, messageReadiness: true, messageLost: true,
 	messageRegained: true, messageReadOnly: true, messageDiskWorks: true, messageDropped: true,
 	messageNotAccepted: true, messageRefused: true, messageStanding: true,
+	messageFollows: true,
 }
 
 // heldBefore returns the line of each process on the configuration that it held.
--- a/internal/soak/run/upstreams.go
+++ b/internal/soak/run/upstreams.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"wasabideal/internal/cookie/router"
 	"wasabideal/internal/model/upstream"
 )
@@ -63,18 +66,25 @@
 	_ = b.conn.Close()
 }
 
-// announce tells any voter of the upstream, again and again.
+// announce tells whom it was referred to, or any voter, of the upstream, again and again.
 func (b *backend) announce() {
+	next := ""
 	for n := 0; ; n++ {
 		b.mu.Lock()
 		b.self.Sequence++
 		u := b.self
 		b.mu.Unlock()
+		apis := []string{next}
 		for try := range b.run.apis {
-			api := b.run.apis[(n+try)%len(b.run.apis)]
-			if err := b.run.settings.World.Announce(context.Background(), api, u); err != nil {
+			apis = append(apis, b.run.apis[(n+try)%len(b.run.apis)])
+		}
+		for _, api := range lo.Compact(apis) {
+			referred, err := b.run.settings.World.Announce(context.Background(), api, u)
+			if err != nil {
+				next = ""
 				continue
 			}
+			next = cmp.Or(referred, next)
 			b.mu.Lock()
 			if u.State == upstream.Draining && b.left.IsZero() {
 				b.left = time.Now()
--- a/internal/soak/run/world.go
+++ b/internal/soak/run/world.go
@@ -47,7 +47,8 @@
 	Publish(ctx context.Context, address string, c configuration.Configuration) error
 	Read(ctx context.Context, address string) (uint64, error)
 	Ready(ctx context.Context, address string) bool
-	Announce(ctx context.Context, address string, u upstream.Upstream) error
+	// Announce returns the address for later announcements, empty where it stays.
+	Announce(ctx context.Context, address string, u upstream.Upstream) (string, error)
 	Encode(s Segment) []byte
 	Decode(b []byte, atUpstream bool) (Segment, uint64, error)
 }
--- a/internal/upstream/handover/handover.go
+++ b/internal/upstream/handover/handover.go
@@ -8,30 +8,30 @@
 	"wasabideal/internal/model/upstream"
 )
 
+// The shares of the time between two announcements of an upstream for which announcements
+// wait for others: topShare at a balancer at the top of its zone, belowShare at one below it
+// for those that another hands on, ownShare at one two levels or more below for those that
+// upstreams make there. An upstream announces itself anew only after the acknowledgement,
+// and a second is all that it waits; up to the fourth level the waits add up to 0.7 of the
+// time, which is 1.2 s mostly. With an eighth of it everywhere, balancers at the top of a
+// zone of 60 took a hundred handovers a second.
 const (
-	// gatherTop is how long a balancer at the top of its zone lets announcements wait for
-	// others, and gatherBelow how long one below it does with those that another hands on:
-	// eight balancers at the top are 27 calls a second for the voter of their zone. With
-	// 0.15 s everywhere those at the top took a hundred handovers a second.
-	gatherTop   = 300 * time.Millisecond
-	gatherBelow = 100 * time.Millisecond
-	// gatherOwn is how long announcements wait that upstreams make at a balancer that is two
-	// levels or more below the top. Upstreams wait a second for the acknowledgement.
-	gatherOwn = 200 * time.Millisecond
+	topShare   = 1.0 / 4
+	ownShare   = 1.0 / 6
+	belowShare = 1.0 / 12
 )
 
-// Gather is how long announcements wait at a balancer on a level of the tree, those that
-// upstreams make there and those that others hand on. On all levels up to the fourth it
-// adds up to 0.7 s at the most.
-func Gather(level int, own bool) time.Duration {
+// Gather is how long announcements that come every so often wait at a balancer on a level of
+// the tree, those that upstreams make there and those that others hand on.
+func Gather(every time.Duration, level int, own bool) time.Duration {
+	share := belowShare
 	switch {
 	case level == 0 || own && level == 1:
-		return gatherTop
+		share = topShare
 	case own:
-		return gatherOwn
-	default:
-		return gatherBelow
+		share = ownShare
 	}
+	return time.Duration(share * float64(every))
 }
 
 // sendTimeout bounds one handover: what is left of the second for all on the way.
--- a/internal/upstream/handover/handover_test.go
+++ b/internal/upstream/handover/handover_test.go
@@ -16,12 +16,13 @@
 const gather = 150 * time.Millisecond
 
 // Whatever level an upstream's balancer is on, the acknowledgement comes well within the
-// second that upstreams wait.
+// second that upstreams wait, and within the time between two announcements.
 func TestWaitsAddUpToLessThanASecond(t *testing.T) {
+	const every = 1200 * time.Millisecond
 	for level := range 5 {
-		all := handover.Gather(level, true)
+		all := handover.Gather(every, level, true)
 		for above := range level {
-			all += handover.Gather(above, false)
+			all += handover.Gather(every, above, false)
 		}
 		require.LessOrEqual(t, all, 800*time.Millisecond)
 	}
