--- a/internal/capacity/page/cookie.go
+++ b/internal/capacity/page/cookie.go
@@ -26,8 +26,6 @@
 	// announcementBytes one of those that are handed on.
 	announceSeconds   = 1.2
 	announcementBytes = 70.0
-	// heartbeatBytes is an upstream's call and its answer, with the connection's packets.
-	heartbeatBytes = 900.0
 	// rootsEach is the balancers of a zone that follow the voters, fanout those that follow
 	// each other one, and followersMost the most that do.
 	rootsEach     = 4.0
--- a/internal/control/feed/answer.go
+++ b/internal/control/feed/answer.go
@@ -74,6 +74,9 @@
 // ones or does not.
 func (f *Feed) noticesSince(now time.Time, version uint64, recalled bool) []directory.Notice {
 	notices := f.directory.Since(now, version)
+	if recalled && version == 0 && f.elsewhere != nil {
+		notices = f.elsewhere.With(now, notices)
+	}
 	if recalled {
 		return notices
 	}
@@ -87,6 +90,9 @@
 		return false
 	}
 	key := wholeKey{version: f.directory.Version(), recalled: q.Recalled}
+	if q.Recalled && f.elsewhere != nil {
+		key.elsewhere = f.elsewhere.Changes()
+	}
 	body, err := f.notices.get(now, key, func() any { return f.noticesSince(now, 0, q.Recalled) })
 	a.Encoded = body
 	return err == nil
@@ -116,7 +122,7 @@
 	}
 	f.tellFleet(now, q, &a)
 	if q.From != "" {
-		f.asked[q.From] = now
+		f.asked[q.From] = asked{at: now, passing: q.Passing}
 	}
 	if q.Unconfigured {
 		a.Configuration = f.smallConfiguration()
--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -39,9 +39,10 @@
 const newsMost = 200
 
 // configurationMost is the size in bytes up to which a configuration goes along with
-// news, that of about 80 routes: worked out, three of them, compressed to half, take 50 ms on a
-// link of 2 Mbit/s.
-const configurationMost = 8 << 10
+// news, that of about 600 routes: worked out, it takes 50 ms on a link of 2 Mbit/s,
+// compressed to half, and a call of its own as long. A balancer that starts asks one voter at
+// a time.
+const configurationMost = 24 << 10
 
 // deltasMost is how many changes a balancer may miss and still get deltas; the
 // whole is shorter than more of them.
@@ -74,6 +75,9 @@
 	Self *member.Member `cbor:",omitempty"`
 	// Fleet is the version of the list of balancers that it heard last from this life.
 	Fleet uint64
+	// Passing is how many balancers pass on what it hears, to those of its zone that are
+	// told last.
+	Passing int
 }
 
 // Answer brings a balancer up to date.
@@ -120,8 +124,10 @@
 	// set while a timer will look at it again.
 	silence  *accrual.Accrual
 	weighing bool
-	// asked is when each balancer last asked for news.
-	asked map[string]time.Time
+	// asked are the balancers that asked for news lately.
+	asked map[string]asked
+	// elsewhere are the upstreams that other voters hear; it may be nil.
+	elsewhere Elsewhere
 	// zone is the voter's own; fleet are the balancers that ask, or follow those.
 	zone  string
 	fleet *members.Members
@@ -130,10 +136,16 @@
 	configuration encoded[configurationKey]
 }
 
+// asked is a balancer's last question.
+type asked struct {
+	at      time.Time
+	passing int
+}
+
 // wholeKey is what the notices of all upstreams depend on.
 type wholeKey struct {
-	version  uint64
-	recalled bool
+	version, elsewhere uint64
+	recalled           bool
 }
 
 // configurationKey is what the way from one revision to the newest depends on.
@@ -142,11 +154,28 @@
 // New returns an empty feed; life must differ from that of earlier processes.
 func New(life uint64, d *directory.Directory, clock func() time.Time) *Feed {
 	return &Feed{
-		life: life, clock: clock, directory: d, changed: make(chan struct{}), silence: accrual.New(), asked: map[string]time.Time{},
+		life: life, clock: clock, directory: d, changed: make(chan struct{}), silence: accrual.New(), asked: map[string]asked{},
 		fleet: members.New(),
 	}
 }
 
+// Elsewhere is what other voters hear.
+type Elsewhere interface {
+	// Changes rises with what others tell.
+	Changes() uint64
+	// With adds the upstreams that others hear to those heard here.
+	With(now time.Time, own []directory.Notice) []directory.Notice
+}
+
+// SetElsewhere lets a balancer that has just started be told also of the upstreams that
+// other voters hear, so that it needs to ask one voter only: where all 200 balancers started
+// at once and asked three, they were ready after 265 ms in the middle.
+func (f *Feed) SetElsewhere(e Elsewhere) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.elsewhere = e
+}
+
 // Serve adds the feed's method to a server.
 func (f *Feed) Serve(r *rpc.Server, token string) {
 	rpc.Handle(r, SinceMethod, token, func(ctx context.Context, q Question) (Answer, error) { return f.Since(ctx, q), nil })
--- a/internal/control/feed/feed_test.go
+++ b/internal/control/feed/feed_test.go
@@ -149,3 +149,26 @@
 	f.Tick(epoch.Add(300 * time.Millisecond))
 	require.Len(t, (<-answers).Notices, 1)
 }
+
+// elsewhere is an upstream that another voter hears.
+type elsewhere struct{}
+
+func (elsewhere) Changes() uint64 { return 1 }
+
+func (elsewhere) With(_ time.Time, own []directory.Notice) []directory.Notice {
+	return append(own, directory.Notice{Upstream: announced(2), Recalled: true})
+}
+
+// Symptom: a balancer that had just started knew a fifth of the upstreams for a second.
+// Events: it asks one voter, which hears the upstreams of its zone.
+// Cause: a voter told only of those that it heard itself.
+func TestStartingBalancersAreToldOfAllUpstreams(t *testing.T) {
+	f := newFeed()
+	f.SetElsewhere(elsewhere{})
+	f.Announce(epoch, announced(1), 0)
+	a, err := f.Since(t.Context(), feed.Question{Recalled: true, Encoded: true}).Decoded()
+	require.NoError(t, err)
+	require.Len(t, a.Notices, 2)
+	require.Len(t, f.Since(t.Context(), feed.Question{Recalled: true}).Notices, 2)
+	require.Len(t, f.Since(t.Context(), feed.Question{}).Notices, 1, "others hear it from those voters")
+}
--- a/internal/control/feed/silence.go
+++ b/internal/control/feed/silence.go
@@ -68,7 +68,7 @@
 // a second costs the requests that are sent on flows of a silent upstream meanwhile.
 func (f *Feed) weigh(now time.Time) {
 	before := f.silence.Version()
-	next := f.silence.Decide(now, f.balancers(now))
+	next := f.silence.Decide(now, f.balancers(now), f.passing())
 	if f.silence.Version() != before {
 		f.wake()
 	}
@@ -86,10 +86,20 @@
 
 // balancers counts those that listen here.
 func (f *Feed) balancers(now time.Time) int {
-	for name, asked := range f.asked {
-		if now.Sub(asked) > balancerFor {
+	for name, a := range f.asked {
+		if now.Sub(a.at) > balancerFor {
 			delete(f.asked, name)
 		}
 	}
 	return len(f.asked)
 }
+
+// passing is how many balancers pass on what is said here, to those that are told last.
+// Balancers know that of their zones: a voter that has just started does not.
+func (f *Feed) passing() int {
+	most := 0
+	for _, a := range f.asked {
+		most = max(most, a.passing)
+	}
+	return most
+}
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -80,6 +80,11 @@
 	named   map[string]time.Time
 	seeds   map[string]bool
 	origins *origins.Origins
+	// first is the voter that was asked first after the start, or when that one did not
+	// answer the next, at a time; heardVoter says that any has answered.
+	first      string
+	firstAt    time.Time
+	heardVoter bool
 	// selection is nil where only voters are followed.
 	selection *selection.Selection
 	census    *census.Census
--- a/internal/cookie/follower/follower_test.go
+++ b/internal/cookie/follower/follower_test.go
@@ -14,7 +14,10 @@
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/cookie/follower"
+	"wasabideal/internal/fanout/member"
+	"wasabideal/internal/fanout/members"
 	"wasabideal/internal/fanout/origins"
+	"wasabideal/internal/fanout/tree"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/standin/server"
@@ -29,6 +32,8 @@
 	history history.History
 	mu      sync.Mutex
 	fetched int
+	// begun counts the questions of balancers that had heard nothing.
+	begun int
 	// stuck voters never answer with a configuration.
 	stuck bool
 }
@@ -42,6 +47,11 @@
 	}
 	s := rpc.NewServer(func(string) {})
 	rpc.Handle(s, feed.SinceMethod, "group", func(ctx context.Context, q feed.Question) (feed.Answer, error) {
+		v.mu.Lock()
+		if q.Life == 0 {
+			v.begun++
+		}
+		v.mu.Unlock()
 		return v.feed.Since(ctx, q), nil
 	})
 	rpc.Handle(s, feed.ConfigurationMethod, "group", func(ctx context.Context, revision uint64) (history.Answer, error) {
@@ -178,7 +188,7 @@
 func TestLargeFirstConfigurationIsFetched(t *testing.T) {
 	a := startVoter(t, 1)
 	large := configuration.Configuration{Revision: 7}
-	for n := range 400 {
+	for n := range 1200 {
 		large.Routes = append(large.Routes, configuration.Route{
 			Name: fmt.Sprint("route-", n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, 1}), uint16(n+1)),
 		})
@@ -189,3 +199,59 @@
 	eventually(t, func() bool { return l.Held().Revision == 7 })
 	require.NotZero(t, a.fetches())
 }
+
+// below returns the address of a balancer that is not at the top of a zone, and the zone.
+func below(shape tree.Shape) (string, []members.Attendance) {
+	var addresses []string
+	var zone []members.Attendance
+	for n := range 20 {
+		a := fmt.Sprintf("127.9.9.%d:7720", n+1)
+		addresses = append(addresses, a)
+		zone = append(zone, members.Attendance{Member: member.Member{Zone: "a", Address: a}})
+	}
+	for _, a := range addresses {
+		if shape.Of(a, addresses).Level > 0 {
+			return a, zone
+		}
+	}
+	return "", nil
+}
+
+// Symptom: after a loss of power everywhere balancers were ready 265 ms after the first
+// voter, 97 ms the first of them.
+// Events: all balancers of a large fleet start and reach all voters of their settings.
+// Cause: each asked all of them for all upstreams.
+func TestOneVoterSufficesForAStart(t *testing.T) {
+	shape := tree.Shape{Roots: 4, Fanout: 8}
+	self, zone := below(shape)
+	var voters []*voter
+	var addresses []string
+	for life := range uint64(3) {
+		v := startVoter(t, life+1)
+		v.feed.Attend(time.Now(), zone)
+		v.publish(7)
+		voters = append(voters, v)
+		addresses = append(addresses, v.address)
+	}
+	l := &listener{notices: map[string]int{}}
+	f := follower.New(follower.Settings{
+		Token: "group", From: "balancer", Clock: time.Now, Self: member.Member{Zone: "a", Address: self}, Shape: shape, StaleAfter: time.Second,
+	}, l, hclog.NewNullLogger())
+	ctx, cancel := context.WithCancel(context.Background())
+	f.Start(ctx, addresses)
+	t.Cleanup(func() {
+		cancel()
+		f.Wait()
+	})
+	eventually(t, func() bool { return l.Held().Revision == 7 })
+	time.Sleep(100 * time.Millisecond)
+	begun := 0
+	for _, v := range voters {
+		v.mu.Lock()
+		begun += v.begun
+		v.mu.Unlock()
+	}
+	// Another one may be asked where the first is slow, on a slow machine.
+	require.LessOrEqual(t, begun, 2)
+	require.Equal(t, 1, f.Level())
+}
--- a/internal/cookie/follower/voters.go
+++ b/internal/cookie/follower/voters.go
@@ -14,6 +14,13 @@
 	"wasabideal/internal/wire/rpc"
 )
 
+const (
+	// turnFor is how long the first voter that is asked after a start has for its answer
+	// before another one is asked, too, and turnPause how often the others look.
+	turnFor   = 150 * time.Millisecond
+	turnPause = 5 * time.Millisecond
+)
+
 // askVoter asks one voter until the context ends, or the voter is none any more.
 func (f *Follower) askVoter(ctx context.Context, address string, w *watch) {
 	client := rpc.NewClient(address, f.settings.Token)
@@ -22,8 +29,11 @@
 	var again retry
 	answered, failing := f.settings.Clock(), false
 	for ctx.Err() == nil {
-		err := f.askOnce(ctx, client, address)
-		f.answers(w, err == nil)
+		err := client.Connect(ctx)
+		if err == nil && f.turn(ctx, address) {
+			err = f.askOnce(ctx, client, address)
+		}
+		f.answers(w, err == nil && ctx.Err() == nil)
 		if err == nil {
 			if failing {
 				f.log.Info("voter answers again", "Address", address)
@@ -47,11 +57,43 @@
 	}
 }
 
+// turn waits until a voter may be asked. Of those that a balancer reaches after its start
+// one is asked first, and another where it does not answer soon: all voters start when all
+// balancers do, and each answer with all upstreams takes them a third of a millisecond.
+func (f *Follower) turn(ctx context.Context, address string) bool {
+	for ctx.Err() == nil {
+		if f.mayAsk(address) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(turnPause):
+		}
+	}
+	return false
+}
+
+func (f *Follower) mayAsk(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.settings.Clock()
+	if f.heardVoter || f.selection == nil || f.first == address || f.first == "" || now.Sub(f.firstAt) >= turnFor {
+		f.first, f.firstAt = address, now
+		return true
+	}
+	return false
+}
+
 // answers notes whether a voter answered its last question.
 func (f *Follower) answers(w *watch, does bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w.answers = does
+	if does && !f.heardVoter {
+		// The others need not be asked, if this one suffices.
+		f.heardVoter = true
+		f.steer(f.settings.Clock())
+	}
 }
 
 // over says, and notes, that a voter need not be asked any more.
@@ -89,6 +131,7 @@
 	if f.selection != nil {
 		self := f.settings.Self
 		q.Self = &self
+		q.Passing = f.settings.Shape.Levels(len(f.census.Members())) - 1
 		if list := f.census.Of(address); list.Life == known.Life {
 			q.Fleet = list.Version
 		}
--- a/internal/cookie/router/silence_test.go
+++ b/internal/cookie/router/silence_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"wasabideal/internal/cookie/router"
@@ -47,6 +48,10 @@
 	slow map[uint64]float64
 	// loss is the share of packets that is lost on each way.
 	loss float64
+	// passing is how many balancers pass on what the voter and the others say, each after
+	// up to passingMost.
+	passing     int
+	passingMost time.Duration
 	// frozen are until when a balancer stands still, queued what it finds then.
 	frozen []time.Time
 	queued [poolBalancers][]func()
@@ -170,19 +175,29 @@
 	if !s.shared || len(events) == 0 {
 		return
 	}
-	s.after(toVoter, func() {
+	way := s.wayToVoter()
+	s.after(way, func() {
 		for _, e := range events {
-			e.Age += toVoter
+			e.Age += way
 			s.accrual.Note(s.now, string(rune('a'+balancer)), e)
 		}
 		s.decide()
 	})
 }
 
+// wayToVoter is how long a message takes to the voter or back.
+func (s *pool) wayToVoter() time.Duration {
+	way := toVoter
+	for range s.passing {
+		way += time.Duration(s.random.Int64N(int64(s.passingMost)))
+	}
+	return way
+}
+
 // decide lets the voter weigh the evidence and tell all balancers what changed.
 func (s *pool) decide() {
 	before := s.accrual.Version()
-	next := s.accrual.Decide(s.now, poolBalancers)
+	next := s.accrual.Decide(s.now, poolBalancers, s.passing)
 	if !next.IsZero() {
 		s.after(next.Sub(s.now), s.decide)
 	}
@@ -191,7 +206,7 @@
 	}
 	all := s.accrual.Doubts(s.now)
 	for i := range s.routers {
-		s.after(toVoter, func() { s.at(i, func() { s.doubt(i, all) }) })
+		s.after(s.wayToVoter(), func() { s.at(i, func() { s.doubt(i, all) }) })
 	}
 }
 
@@ -367,6 +382,27 @@
 	}
 }
 
+// Symptom: a flow was reset though its upstream served.
+// Events: upstreams are slow and packets are lost in a burst; balancers report that, are
+// asked for signs of life, and give them, all through other balancers on narrow links that
+// gather what they pass on.
+// Cause: they had 60 ms for that, which suffices where all ask the voters.
+func TestSignsOfLifeThroughOtherBalancersComeInTime(t *testing.T) {
+	// Seed 353 broke a flow with 60 ms.
+	for _, seed := range append([]uint64{353}, lo.RangeFrom(uint64(0), *seeds)...) {
+		s := newPool(t, seed, true)
+		s.passing, s.passingMost = 2, 75*time.Millisecond
+		s.loss = 0.1
+		r := rand.New(rand.NewPCG(seed, 2))
+		for range 4 {
+			s.slow[1+r.Uint64N(poolUpstreams)] = 2 + 10*r.Float64()
+		}
+		s.run(3 * time.Second)
+		require.Zero(t, s.killed, "seed %d", seed)
+		require.NotZero(t, s.asked)
+	}
+}
+
 // A storm of packets without an answer must not fill the links to voters.
 func TestReportsAreBounded(t *testing.T) {
 	r := newRouter(t, target(1, "orders", "a"))
--- a/internal/daemon/control/others.go
+++ b/internal/daemon/control/others.go
@@ -48,16 +48,15 @@
 	}
 }
 
-// changes rises with what others tell.
-func (o *others) changes() uint64 {
+// Changes rises with what others tell.
+func (o *others) Changes() uint64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.version
 }
 
-// with adds the upstreams that others hear to those heard here, and returns a
-// number that rises with them.
-func (o *others) with(now time.Time, own []directory.Notice) ([]directory.Notice, uint64) {
+// With adds the upstreams that others hear to those heard here.
+func (o *others) With(now time.Time, own []directory.Notice) []directory.Notice {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	heard := make(map[uint64]bool, len(own))
@@ -69,5 +68,5 @@
 			own = append(own, directory.Notice{Upstream: t.Upstream, Cold: max(t.ColdUntil.Sub(now), 0), Recalled: true})
 		}
 	}
-	return own, o.version
+	return own
 }
--- a/internal/daemon/control/recall.go
+++ b/internal/daemon/control/recall.go
@@ -84,11 +84,12 @@
 		case <-t.C:
 		}
 		now := c.settings.Clock()
-		if now.Before(due) || c.feed.Version() == written && c.others.changes() == writtenOthers {
+		if now.Before(due) || c.feed.Version() == written && c.others.Changes() == writtenOthers {
 			continue
 		}
 		notices, version := c.feed.Notices(now)
-		notices, versionOthers := c.others.with(now, notices)
+		versionOthers := c.others.Changes()
+		notices = c.others.With(now, notices)
 		due = now.Add(recallEvery + time.Duration(len(notices))*recallEach)
 		err := c.writeUpstreams(notices)
 		if err == nil {
--- a/internal/fanout/selection/selection.go
+++ b/internal/fanout/selection/selection.go
@@ -13,6 +13,9 @@
 	// balancers by then. With 2 s the balancers of a fleet that restarted in turn, which
 	// were told each change meanwhile, were most of the voters' work.
 	settleFor = 500 * time.Millisecond
+	// fewFor is how long one voter suffices after a start. What it says of upstreams that
+	// others hear holds for four seconds.
+	fewFor = 2500 * time.Millisecond
 	// avoidFor is how long a balancer that failed is not asked again.
 	avoidFor = 5 * time.Second
 	// raceFor is how long candidates have before the voters are asked instead of a parent
@@ -209,7 +212,7 @@
 // orphan looks for a parent.
 func (s *Selection) orphan(now time.Time) Sources {
 	if s.lost.IsZero() || now.Sub(s.lost) >= raceFor {
-		return Sources{Voters: true, Few: s.lost.IsZero(), Parents: s.candidates(now, 1)}
+		return Sources{Voters: true, Few: now.Sub(s.started) < fewFor, Parents: s.candidates(now, 1)}
 	}
 	out := Sources{Parents: s.candidates(now, 2)}
 	out.Voters = len(out.Parents) == 0
--- a/internal/fanout/selection/selection_test.go
+++ b/internal/fanout/selection/selection_test.go
@@ -64,7 +64,7 @@
 
 func TestVotersAreFollowedUntilAParentAnswers(t *testing.T) {
 	s, c := newChild(t)
-	require.Equal(t, selection.Sources{Voters: true, Few: true, Parents: c[:1]}, s.Decide(epoch))
+	require.Equal(t, selection.Sources{Voters: true, Parents: c[:1]}, s.Decide(epoch))
 	s.Answered(epoch, c[0], 0)
 	require.Equal(t, c[1:2], s.Decide(epoch).Parents, "one that has heard no voter is no parent")
 	s.Answered(epoch, c[1], voters)
@@ -80,6 +80,17 @@
 	s.Fleet(epoch, all)
 	require.Equal(t, selection.Sources{Voters: true, Few: true}, s.Decide(at(300*time.Millisecond)))
 	require.NotEmpty(t, s.Decide(at(time.Second)).Parents)
+	require.True(t, s.Decide(at(time.Second)).Few)
+}
+
+// Symptom: four seconds after its start a balancer knew a fifth of the upstreams.
+// Events: it finds no parent; the voter that it asked hears the upstreams of one zone.
+// Cause: one voter sufficed until a parent was found.
+func TestAllVotersAreAskedWhereNoParentIsFound(t *testing.T) {
+	all := zone(20)
+	s := selection.New(selection.Settings{Self: onLevel(t, 1, all), Shape: shape, StaleAfter: staleAfter}, epoch)
+	s.Fleet(epoch, all)
+	require.False(t, s.Decide(at(3*time.Second)).Few)
 }
 
 func TestSmallZonesFollowVotersOnly(t *testing.T) {
--- a/internal/fanout/tree/tree.go
+++ b/internal/fanout/tree/tree.go
@@ -58,6 +58,15 @@
 // Grows says that not all balancers of a zone follow the voters.
 func (s Shape) Grows(zone []string) bool { return len(zone) > max(s.Small, s.Roots) }
 
+// Levels is how many levels a zone of so many balancers has.
+func (s Shape) Levels(balancers int) int {
+	if balancers <= max(s.Small, s.Roots) {
+		return 1
+	}
+	level, _, _ := s.level(balancers - 1)
+	return level + 1
+}
+
 // level returns the level at an index of the order, and which indices the level above
 // has.
 func (s Shape) level(index int) (level, from, until int) {
--- a/internal/fanout/tree/tree_test.go
+++ b/internal/fanout/tree/tree_test.go
@@ -36,6 +36,7 @@
 				levels[shape.Of(a, all).Level]++
 			}
 			require.Len(t, levels, c.levels)
+			require.Equal(t, c.levels, shape.Levels(c.balancers))
 			require.Equal(t, c.roots, levels[0])
 			require.Len(t, shape.Top(all), c.roots)
 		})
--- a/internal/silence/accrual/accrual.go
+++ b/internal/silence/accrual/accrual.go
@@ -36,6 +36,12 @@
 	// repetition for its answer: several round trips to the farthest zone, the work of
 	// a usual request, and a slow VM's turn.
 	objectionTime = 60 * time.Millisecond
+	// passingTime is added for each balancer that passes on the question and the sign of
+	// life: the doubts of several voters are gathered there, reports are sent each 20 ms, and
+	// both wait on one more narrow link. Without it, flows of upstreams that live were reset
+	// where links were full and two balancers were on the way
+	// (TestSignsOfLifeThroughOtherBalancersComeInTime).
+	passingTime = 120 * time.Millisecond
 	// eventFor is how long a packet counts as evidence: as long as its caller waits.
 	eventFor = 1500 * time.Millisecond
 	// unresponsiveFor is how long a subject stays unresponsive without new evidence.
@@ -139,10 +145,12 @@
 	}
 }
 
-// Decide weighs the evidence; balancers is how many ask this voter for news. It returns
-// when it must be called again without further evidence, zero where it need not.
-func (a *Accrual) Decide(now time.Time, balancers int) time.Time {
+// Decide weighs the evidence; balancers is how many ask this voter for news, passing how
+// many pass it on to those that are told last. It returns when it must be called again
+// without further evidence, zero where it need not.
+func (a *Accrual) Decide(now time.Time, balancers, passing int) time.Time {
 	var next time.Time
+	objection := objectionTime + time.Duration(passing)*passingTime
 	a.alarms *= math.Exp(-now.Sub(a.decayed).Seconds() / alarmMemory.Seconds())
 	a.decayed = now
 	for s, r := range a.records {
@@ -151,8 +159,8 @@
 			delete(a.records, s)
 			continue
 		}
-		a.decide(now, s, r, balancers)
-		if end := r.next(now); !end.IsZero() && (next.IsZero() || end.Before(next)) {
+		a.decide(now, s, r, balancers, objection)
+		if end := r.next(now, objection); !end.IsZero() && (next.IsZero() || end.Before(next)) {
 			next = end
 		}
 	}
@@ -160,12 +168,12 @@
 }
 
 // next is when time alone may make a subject in doubt unresponsive, zero where it cannot.
-func (r *record) next(now time.Time) time.Time {
+func (r *record) next(now time.Time, objection time.Duration) time.Time {
 	if r.doubted.IsZero() || !r.unresponsive.IsZero() {
 		return time.Time{}
 	}
 	for _, e := range r.events {
-		if end := e.told.Add(objectionTime); end.After(now) {
+		if end := e.told.Add(objection); end.After(now) {
 			return end
 		}
 	}
@@ -187,11 +195,11 @@
 	return true
 }
 
-func (a *Accrual) decide(now time.Time, s word.Subject, r *record, balancers int) {
+func (a *Accrual) decide(now time.Time, s word.Subject, r *record, balancers int, objection time.Duration) {
 	weight, waited := 0.0, 0.0
 	for _, e := range r.events {
 		weight += e.weight
-		if now.Sub(e.told) >= objectionTime {
+		if now.Sub(e.told) >= objection {
 			waited += e.weight
 		}
 	}
@@ -201,7 +209,7 @@
 		r.first = slices.MinFunc(r.events, func(x, y evidence) int { return x.sent.Compare(y.sent) }).sent
 		a.version++
 	}
-	if r.doubted.IsZero() || !r.unresponsive.IsZero() || waited < enough || now.Sub(r.doubted) < objectionTime {
+	if r.doubted.IsZero() || !r.unresponsive.IsZero() || waited < enough || now.Sub(r.doubted) < objection {
 		return
 	}
 	if r.witnesses(func(e evidence) any { return e.from }) < min(2, balancers) {
--- a/internal/silence/accrual/accrual_test.go
+++ b/internal/silence/accrual/accrual_test.go
@@ -49,22 +49,22 @@
 func TestSilenceSeenBySeveralBalancersCounts(t *testing.T) {
 	a := accrual.New()
 	a.Note(at(0), "b1", unanswered(1, usual))
-	require.Zero(t, a.Decide(at(0), 7))
+	require.Zero(t, a.Decide(at(0), 7, 0))
 	require.Empty(t, doubts(a, at(0)))
 	a.Note(at(10), "b2", unanswered(1, usual))
-	require.Equal(t, at(60), a.Decide(at(10), 7))
+	require.Equal(t, at(60), a.Decide(at(10), 7, 0))
 	require.Contains(t, doubts(a, at(10)), "u", "balancers are asked for signs of life")
 	a.Note(at(20), "b3", unanswered(1, usual))
-	a.Decide(at(20), 7)
+	a.Decide(at(20), 7, 0)
 	require.NotContains(t, doubts(a, at(20)), "U", "they have some time for it")
-	require.Equal(t, at(80), a.Decide(at(70), 7))
+	require.Equal(t, at(80), a.Decide(at(70), 7, 0))
 	require.NotContains(t, doubts(a, at(70)), "U", "and the last packet's repetition for its answer")
-	a.Decide(at(80), 7)
+	a.Decide(at(80), 7, 0)
 	require.Contains(t, doubts(a, at(80)), "U")
 	require.Equal(t, 280*time.Millisecond, a.Doubts(at(80))[len(a.Doubts(at(80)))-1].Age)
-	a.Decide(at(2000), 7)
+	a.Decide(at(2000), 7, 0)
 	require.Contains(t, doubts(a, at(2000)), "U")
-	a.Decide(at(2700), 7)
+	a.Decide(at(2700), 7, 0)
 	require.Empty(t, doubts(a, at(2700)), "without new evidence it is tried again")
 }
 
@@ -75,12 +75,12 @@
 	a := accrual.New()
 	for i := range 20 {
 		a.Note(at(i), "b1", unanswered(uint64(i%4), usual))
-		a.Decide(at(i), 7)
+		a.Decide(at(i), 7, 0)
 	}
-	a.Decide(at(200), 7)
+	a.Decide(at(200), 7, 0)
 	require.NotContains(t, doubts(a, at(200)), "U")
 	require.NotContains(t, doubts(a, at(200)), "Z")
-	a.Decide(at(201), 1)
+	a.Decide(at(201), 1, 0)
 	require.Contains(t, doubts(a, at(201)), "U", "it counts where no other balancer listens here")
 }
 
@@ -89,7 +89,7 @@
 	for i, from := range []string{"b1", "b2", "b3", "b4"} {
 		a.Note(at(i), from, unanswered(1, usual))
 	}
-	a.Decide(at(5), 7)
+	a.Decide(at(5), 7, 0)
 	require.True(t, a.Questioned(answered(1, 0)))
 	a.Note(at(10), "b5", answered(1, 400*time.Millisecond))
 	require.Contains(t, doubts(a, at(10)), "u", "it came before the first of the packets was sent")
@@ -98,7 +98,7 @@
 	require.False(t, a.Questioned(answered(1, 0)))
 	a.Note(at(30), "b1", unanswered(1, usual))
 	a.Note(at(30), "b2", unanswered(1, usual))
-	a.Decide(at(100), 7)
+	a.Decide(at(100), 7, 0)
 	require.Empty(t, doubts(a, at(100)), "packets of before the sign of life say nothing")
 }
 
@@ -110,8 +110,8 @@
 	for i, from := range []string{"b1", "b2", "b3", "b4", "b5", "b6"} {
 		a.Note(at(i), from, unanswered(1, 1.1))
 	}
-	a.Decide(at(10), 7)
-	a.Decide(at(100), 7)
+	a.Decide(at(10), 7, 0)
+	a.Decide(at(100), 7, 0)
 	require.Empty(t, doubts(a, at(100)))
 }
 
@@ -123,8 +123,8 @@
 	for i := range 5 {
 		a.Note(at(i), []string{"b1", "b2"}[i%2], unanswered(uint64(i), usual))
 	}
-	a.Decide(at(5), 7)
-	a.Decide(at(100), 7)
+	a.Decide(at(5), 7, 0)
+	a.Decide(at(100), 7, 0)
 	require.Equal(t, "Z", doubts(a, at(100)))
 	a.Note(at(110), "b3", answered(9, 0))
 	require.Empty(t, doubts(a, at(110)), "one of its upstreams lives")
@@ -137,15 +137,15 @@
 func TestPacketsOfBeforeTheSignOfLifeSayNothing(t *testing.T) {
 	a := accrual.New()
 	a.Note(at(0), "b1", unanswered(1, 2*usual))
-	a.Decide(at(0), 7)
+	a.Decide(at(0), 7, 0)
 	a.Note(at(50), "b2", answered(1, 0))
-	a.Decide(at(60), 7)
+	a.Decide(at(60), 7, 0)
 	for i, from := range []string{"b1", "b2", "b3"} {
 		late := unanswered(1, 2*usual)
 		late.Age = 600 * time.Millisecond
 		a.Note(at(400+i), from, late)
 	}
-	a.Decide(at(410), 7)
+	a.Decide(at(410), 7, 0)
 	require.Empty(t, doubts(a, at(410)))
 }
 
@@ -156,7 +156,7 @@
 		e.Born = 100
 		a.Note(at(i), from, e)
 	}
-	a.Decide(at(100), 7)
+	a.Decide(at(100), 7, 0)
 	for _, d := range a.Doubts(at(100)) {
 		if d.Incarnation == 1 {
 			require.Equal(t, uint64(100), d.Born)
@@ -179,7 +179,7 @@
 			e := unanswered(1, rapid.Float64Range(0, 5).Draw(t, "weight"))
 			e.Age = time.Duration(rapid.IntRange(180, 1500).Draw(t, "age")) * time.Millisecond
 			a.Note(now, rapid.SampledFrom([]string{"b1", "b2", "b3"}).Draw(t, "from"), e)
-			a.Decide(now, 4)
+			a.Decide(now, 4, 0)
 			for _, d := range a.Doubts(now) {
 				require.False(t, d.Unresponsive)
 			}
@@ -192,7 +192,7 @@
 	for id := range uint64(500) {
 		a.Note(at(0), "b1", unanswered(id+1, 2*usual))
 	}
-	a.Decide(at(0), 7)
+	a.Decide(at(0), 7, 0)
 	all := a.Doubts(at(0))
 	require.Len(t, all, 64)
 	require.Equal(t, "a", all[0].Zone, "one word for all of them")
@@ -209,7 +209,7 @@
 	for n := range 200 {
 		now := at(10 * n)
 		a.Note(now, "b1", unanswered(uint64(n%20+1), usual))
-		a.Decide(now, 7)
+		a.Decide(now, 7, 0)
 		for _, d := range a.Doubts(now) {
 			raised++
 			a.Note(now, "b2", word.Event{Incarnation: d.Incarnation, Zone: d.Zone, Answered: true})
@@ -220,7 +220,7 @@
 	for i, from := range []string{"b1", "b2", "b3"} {
 		a.Note(now.Add(time.Duration(i)*time.Millisecond), from, unanswered(1, usual))
 	}
-	a.Decide(now.Add(5*time.Millisecond), 7)
-	a.Decide(now.Add(100*time.Millisecond), 7)
+	a.Decide(now.Add(5*time.Millisecond), 7, 0)
+	a.Decide(now.Add(100*time.Millisecond), 7, 0)
 	require.Contains(t, doubts(a, now.Add(100*time.Millisecond)), "U", "quick again after half a minute")
 }
--- a/internal/silence/sample/sample_test.go
+++ b/internal/silence/sample/sample_test.go
@@ -47,7 +47,7 @@
 		}
 	}
 	for now := epoch; now.Before(epoch.Add(300 * time.Millisecond)); now = now.Add(20 * time.Millisecond) {
-		a.Decide(now, 40)
+		a.Decide(now, 40, 0)
 	}
 	for _, d := range a.Doubts(epoch.Add(300 * time.Millisecond)) {
 		require.Equal(t, d.Zone == "", d.Unresponsive, "the upstream is, its zone is not")
--- a/internal/wire/rpc/client.go
+++ b/internal/wire/rpc/client.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// Connect opens the connection, if it is not open, for a call later on.
+func (c *Client) Connect(ctx context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.connect(ctx); err != nil {
+		return &LostError{Address: c.address, Cause: err}
+	}
+	return nil
+}
+
 func (c *Client) connect(ctx context.Context) error {
 	if c.conn != nil {
 		select {
