--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -80,11 +80,11 @@
 	named   map[string]time.Time
 	seeds   map[string]bool
 	origins *origins.Origins
-	// first is the voter that was asked first after the start, or when that one did not
-	// answer the next, at a time; heardVoter says that any has answered.
-	first      string
-	firstAt    time.Time
-	heardVoter bool
+	// first is the voter that is asked after the start, since a time; toldAll says that one
+	// has told a configuration and upstreams.
+	first   string
+	firstAt time.Time
+	toldAll bool
 	// selection is nil where only voters are followed.
 	selection *selection.Selection
 	census    *census.Census
@@ -229,10 +229,13 @@
 }
 
 // firstSeed returns the voter of the settings that suffices for a start, empty where none
-// has answered yet. Each balancer has its own: a fleet that restarts would otherwise hold
+// has told all that it takes yet. Each balancer has its own: a fleet that restarts would otherwise hold
 // connections to all voters for each of its balancers.
 func (f *Follower) firstSeed() string {
 	first := ""
+	if !f.toldAll {
+		return first
+	}
 	for a := range f.seeds {
 		if w := f.watches[a]; w == nil || !w.answers {
 			continue
--- a/internal/cookie/follower/follower_test.go
+++ b/internal/cookie/follower/follower_test.go
@@ -84,6 +84,8 @@
 	mu      sync.Mutex
 	held    configuration.Configuration
 	notices map[string]int
+	// informed is set with the first upstream, where notes is.
+	informed, notes bool
 }
 
 func (l *listener) Held() configuration.Configuration {
@@ -92,7 +94,11 @@
 	return l.held
 }
 
-func (l *listener) Informed() bool { return false }
+func (l *listener) Informed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.informed
+}
 
 func (l *listener) Offered(_ string, c configuration.Configuration) {
 	l.mu.Lock()
@@ -104,6 +110,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.notices[x.Voter] += len(x.Notices)
+	l.informed = l.informed || l.notes && len(x.Notices) > 0
 }
 
 func (l *listener) heard(address string) int {
@@ -200,8 +207,11 @@
 	require.NotZero(t, a.fetches())
 }
 
+// shapeBelow is the tree's of the zone that below returns.
+var shapeBelow = tree.Shape{Roots: 4, Fanout: 8}
+
 // below returns the address of a balancer that is not at the top of a zone, and the zone.
-func below(shape tree.Shape) (string, []members.Attendance) {
+func below() (string, []members.Attendance) {
 	var addresses []string
 	var zone []members.Attendance
 	for n := range 20 {
@@ -210,39 +220,62 @@
 		zone = append(zone, members.Attendance{Member: member.Member{Zone: "a", Address: a}})
 	}
 	for _, a := range addresses {
-		if shape.Of(a, addresses).Level > 0 {
+		if shapeBelow.Of(a, addresses).Level > 0 {
 			return a, zone
 		}
 	}
 	return "", nil
 }
 
+// startBelow starts to follow as a balancer below the top of its zone.
+func startBelow(t *testing.T, clock func() time.Time, self string, voters []string) (*follower.Follower, *listener) {
+	l := &listener{notices: map[string]int{}, notes: true}
+	f := follower.New(follower.Settings{
+		Token: "group", From: "balancer", Clock: clock, Self: member.Member{Zone: "a", Address: self}, Shape: shapeBelow, StaleAfter: time.Second,
+	}, l, hclog.NewNullLogger())
+	ctx, cancel := context.WithCancel(context.Background())
+	f.Start(ctx, voters)
+	t.Cleanup(func() {
+		cancel()
+		f.Wait()
+	})
+	return f, l
+}
+
+// Symptom: balancers were not ready for seconds, though voters answered.
+// Events: all VMs lose power; a voter comes back with an empty disk and answers first.
+// Cause: one voter that had answered sufficed, whatever it told.
+func TestVoterWithAnEmptyDiskDoesNotSuffice(t *testing.T) {
+	self, zone := below()
+	empty, whole := startVoter(t, 1), startVoter(t, 2)
+	for _, v := range []*voter{empty, whole} {
+		v.feed.Attend(time.Now(), zone)
+	}
+	whole.feed.Announce(time.Now(), upstream.Upstream{Identity: upstream.Identity{Incarnation: 5}, Sequence: 1}, 0)
+	whole.publish(7)
+	// On a clock that stands still the time never comes when all voters are asked anyway.
+	still := time.Now()
+	_, l := startBelow(t, func() time.Time { return still }, self, []string{empty.address, whole.address})
+	eventually(t, func() bool { return l.Held().Revision == 7 && l.Informed() })
+}
+
 // Symptom: after a loss of power everywhere balancers were ready 265 ms after the first
 // voter, 97 ms the first of them.
 // Events: all balancers of a large fleet start and reach all voters of their settings.
 // Cause: each asked all of them for all upstreams.
 func TestOneVoterSufficesForAStart(t *testing.T) {
-	shape := tree.Shape{Roots: 4, Fanout: 8}
-	self, zone := below(shape)
+	self, zone := below()
 	var voters []*voter
 	var addresses []string
 	for life := range uint64(3) {
 		v := startVoter(t, life+1)
 		v.feed.Attend(time.Now(), zone)
+		v.feed.Announce(time.Now(), upstream.Upstream{Identity: upstream.Identity{Incarnation: 5}, Sequence: 1}, 0)
 		v.publish(7)
 		voters = append(voters, v)
 		addresses = append(addresses, v.address)
 	}
-	l := &listener{notices: map[string]int{}}
-	f := follower.New(follower.Settings{
-		Token: "group", From: "balancer", Clock: time.Now, Self: member.Member{Zone: "a", Address: self}, Shape: shape, StaleAfter: time.Second,
-	}, l, hclog.NewNullLogger())
-	ctx, cancel := context.WithCancel(context.Background())
-	f.Start(ctx, addresses)
-	t.Cleanup(func() {
-		cancel()
-		f.Wait()
-	})
+	f, l := startBelow(t, time.Now, self, addresses)
 	eventually(t, func() bool { return l.Held().Revision == 7 })
 	time.Sleep(100 * time.Millisecond)
 	begun := 0
--- a/internal/cookie/follower/voters.go
+++ b/internal/cookie/follower/voters.go
@@ -77,21 +77,25 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.settings.Clock()
-	if f.heardVoter || f.selection == nil || f.first == address || f.first == "" || now.Sub(f.firstAt) >= turnFor {
+	if f.toldAll || f.selection == nil || f.first == address || f.first == "" || now.Sub(f.firstAt) >= turnFor {
 		f.first, f.firstAt = address, now
 		return true
 	}
 	return false
 }
 
-// answers notes whether a voter answered its last question.
+// answers notes whether a voter answered its last question. Once one has told all that it
+// takes the others need not be asked: one that came back with an empty disk tells nothing.
 func (f *Follower) answers(w *watch, does bool) {
+	told := does && f.listener.Informed() && f.listener.Held().Revision > 0
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w.answers = does
-	if does && !f.heardVoter {
-		// The others need not be asked, if this one suffices.
-		f.heardVoter = true
+	if f.toldAll {
+		return
+	}
+	f.first, f.toldAll = "", told
+	if told {
 		f.steer(f.settings.Clock())
 	}
 }
