--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -102,8 +102,8 @@
 	DoubtsVersion uint64
 	// Zone is the voter's availability zone.
 	Zone string
-	// Fleet are the balancers of the zone of the one that asks, nil where it was told
-	// before, and FleetVersion rises with changes.
+	// Fleet are the balancers of the zone of the one that asks, nil where it has
+	// the list, and FleetVersion rises with changes.
 	Fleet        []member.Member `cbor:",omitempty"`
 	FleetVersion uint64
 }
--- a/internal/control/feed/feed_test.go
+++ b/internal/control/feed/feed_test.go
@@ -128,7 +128,7 @@
 
 // Symptom: a voter was busy while many balancers asked it and upstreams changed.
 // Events: 60 balancers ask; an upstream changes now and then.
-// Cause: each change was told to each of them within a tenth of a second.
+// Cause: each of them was sent each change within a tenth of a second.
 func TestNewsAreGatheredLongerForMany(t *testing.T) {
 	f := newFeed()
 	for n := range 60 {
@@ -202,7 +202,7 @@
 	require.Equal(t, 1, asked)
 }
 
-// What a voter hears itself goes before what it was told of others a moment ago.
+// What a voter hears itself goes before what others reported a moment ago.
 func TestOwnWordGoesBeforeThatOfOthers(t *testing.T) {
 	f := newFeed()
 	f.SetElsewhere(elsewhere{upstreams: 1, asked: new(int)})
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -142,7 +142,7 @@
 	f.pool.Close()
 }
 
-// Name tells of the voters' addresses that the settings name.
+// Name takes the voters' addresses that the settings name.
 func (f *Follower) Name(voters []string) {
 	f.mu.Lock()
 	f.seeds = lo.SliceToMap(voters, func(a string) (string, bool) { return a, true })
@@ -322,7 +322,7 @@
 	return out
 }
 
-// Report tells of upstreams that do not answer, or do again.
+// Report reports upstreams that do not answer, or do again.
 func (f *Follower) Report(events []word.Event) {
 	f.Pass(word.Report{From: f.settings.From, Events: events})
 }
--- a/internal/cookie/follower/uplink.go
+++ b/internal/cookie/follower/uplink.go
@@ -23,7 +23,7 @@
 	reportTimeout = 300 * time.Millisecond
 	// eventsMost bounds the events of one report, 40 bytes each.
 	eventsMost = 64
-	// answersMost bounds it where all are signs of life.
+	// answersMost bounds it where all are liveness reports.
 	answersMost = 2 * eventsMost
 	// attendFirst is when the followers are first reported to a new parent or voter: soon,
 	// so that voters that restarted know the fleet again.
@@ -51,7 +51,7 @@
 }
 
 // tell adds events of a balancer to the next report. Where too many wait, the oldest
-// unanswered packets are dropped: they count least. A sign of life that got lost would let
+// unanswered packets are dropped: they count least. A liveness report that got lost would let
 // an upstream count as unresponsive that lives.
 func (u *uplink) tell(from string, events []word.Event) {
 	now := u.clock()
--- a/internal/cookie/router/load_test.go
+++ b/internal/cookie/router/load_test.go
@@ -1,7 +1,6 @@
 package router_test
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -12,6 +11,7 @@
 
 	"wasabideal/internal/cookie/router"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/standin/virtual"
 	"wasabideal/internal/upstream/view"
 )
 
@@ -32,23 +32,6 @@
 	replay = 5 * time.Second
 )
 
-type happening struct {
-	at time.Time
-	do func()
-}
-
-type agenda []happening
-
-func (a agenda) Len() int           { return len(a) }
-func (a agenda) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
-func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)        { *a = append(*a, x.(happening)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // server is an upstream with slots, a queue, and a factor on its work.
 type server struct {
 	busy    int
@@ -58,8 +41,7 @@
 
 // site replays callers, balancers and upstreams in virtual time.
 type site struct {
-	now     time.Time
-	agenda  agenda
+	virtual.Time
 	random  *rand.Rand
 	routers []*router.Router
 	servers map[uint64]*server
@@ -74,7 +56,7 @@
 // newSite has balancers whose routes have an objective, or none, and that were told
 // of the upstreams at a time.
 func newSite(t *testing.T, told time.Time, goal time.Duration, slow map[uint64]float64) *site {
-	s := &site{now: epoch, random: rand.New(rand.NewPCG(1, 2)), servers: map[uint64]*server{}}
+	s := &site{Time: virtual.Time{Now: epoch}, random: rand.New(rand.NewPCG(1, 2)), servers: map[uint64]*server{}}
 	var targets []view.Target
 	for id := uint64(1); id <= upstreamsAll; id++ {
 		targets = append(targets, target(id, "orders", "a"))
@@ -92,20 +74,7 @@
 	return s
 }
 
-func (s *site) after(d time.Duration, do func()) {
-	heap.Push(&s.agenda, happening{s.now.Add(d), do})
-}
-
-func (s *site) run(until time.Duration) {
-	for len(s.agenda) > 0 {
-		h := heap.Pop(&s.agenda).(happening)
-		if h.at.Sub(epoch) > until {
-			return
-		}
-		s.now = h.at
-		h.do()
-	}
-}
+func (s *site) run(until time.Duration) { s.Run(epoch.Add(until)) }
 
 // call is one request with a flow of its own.
 type call struct {
@@ -117,12 +86,12 @@
 // offer lets callers ask so many times a second.
 func (s *site) offer(perSecond float64) {
 	pause := time.Duration(s.random.ExpFloat64() / perSecond * float64(time.Second))
-	s.after(pause, func() {
-		c := &call{address: orders, begun: s.now}
+	s.After(pause, func() {
+		c := &call{address: orders, begun: s.Now}
 		if s.random.IntN(4) == 0 {
 			c.address = notes
 		}
-		if s.now.Sub(epoch) > warmUp {
+		if s.Now.Sub(epoch) > warmUp {
 			s.wanted++
 		}
 		s.try(c)
@@ -131,9 +100,9 @@
 }
 
 func (s *site) tick() {
-	s.after(100*time.Millisecond, func() {
+	s.After(100*time.Millisecond, func() {
 		for _, r := range s.routers {
-			r.Tick(s.now)
+			r.Tick(s.Now)
 		}
 		s.tick()
 	})
@@ -153,16 +122,16 @@
 }
 
 func (s *site) place(c *call, r *router.Router, p router.Packet) {
-	v := r.Route(s.now, p)
+	v := r.Route(s.Now, p)
 	if v.Action != router.Forward {
 		s.turned++
-		s.after(2*way, func() { s.try(c) })
+		s.After(2*way, func() { s.try(c) })
 		return
 	}
 	p.Opening, p.Cookie, p.Length = false, v.Cookie, 900
-	s.after(2*way, func() {
-		r.Route(s.now, p)
-		s.after(way, func() { s.arrive(c, r, p, s.servers[v.Incarnation]) })
+	s.After(2*way, func() {
+		r.Route(s.Now, p)
+		s.After(way, func() { s.arrive(c, r, p, s.servers[v.Incarnation]) })
 	})
 }
 
@@ -170,7 +139,7 @@
 func (s *site) arrive(c *call, r *router.Router, p router.Packet, x *server) {
 	finish := func() {
 		took := time.Duration((0.5 + s.random.ExpFloat64()/2) * float64(work) * x.slow)
-		s.after(took, func() {
+		s.After(took, func() {
 			x.busy--
 			if len(x.waiting) > 0 {
 				next := x.waiting[0]
@@ -178,7 +147,7 @@
 				x.busy++
 				next()
 			}
-			s.after(way, func() { s.answered(c, r, p, true) })
+			s.After(way, func() { s.answered(c, r, p, true) })
 		})
 	}
 	switch {
@@ -189,17 +158,17 @@
 		x.waiting = append(x.waiting, finish)
 	default:
 		s.full++
-		s.after(way, func() { s.answered(c, r, p, false) })
+		s.After(way, func() { s.answered(c, r, p, false) })
 	}
 }
 
 func (s *site) answered(c *call, r *router.Router, p router.Packet, served bool) {
 	p.Sequence, p.Length, p.Acknowledged, p.Finish = p.Sequence+900, 0, 600, true
-	r.Route(s.now, p)
+	r.Route(s.Now, p)
 	switch {
 	case !served:
 		s.try(c)
-	case s.now.Sub(c.begun) <= objective && c.begun.Sub(epoch) > warmUp:
+	case s.Now.Sub(c.begun) <= objective && c.begun.Sub(epoch) > warmUp:
 		s.inTime++
 	}
 }
@@ -310,14 +279,14 @@
 			left := kept[i]
 			kept[i] = nil
 			for _, p := range left {
-				if asRoomComes && !r.HasRoom(s.now, p) {
+				if asRoomComes && !r.HasRoom(s.Now, p) {
 					kept[i] = append(kept[i], p)
 					continue
 				}
 				s.place(&call{address: p.Address, begun: epoch.Add(-time.Second), tries: triesMost}, r, p)
 			}
 		}
-		s.after(5*time.Millisecond, again)
+		s.After(5*time.Millisecond, again)
 	}
 	again()
 	s.offer(0.4 * capacity)
--- a/internal/cookie/router/silence_test.go
+++ b/internal/cookie/router/silence_test.go
@@ -1,7 +1,6 @@
 package router_test
 
 import (
-	"container/heap"
 	"flag"
 	"math/rand/v2"
 	"testing"
@@ -15,6 +14,7 @@
 	"wasabideal/internal/silence/accrual"
 	"wasabideal/internal/silence/doubts"
 	"wasabideal/internal/silence/word"
+	"wasabideal/internal/standin/virtual"
 	"wasabideal/internal/upstream/view"
 )
 
@@ -35,8 +35,7 @@
 
 // pool replays callers on open flows, balancers, upstreams and one voter in virtual time.
 type pool struct {
-	now     time.Time
-	agenda  agenda
+	virtual.Time
 	random  *rand.Rand
 	routers []*router.Router
 	accrual *accrual.Accrual
@@ -76,7 +75,7 @@
 
 func newPool(t *testing.T, seed uint64, shared bool) *pool {
 	s := &pool{
-		now: epoch, random: rand.New(rand.NewPCG(seed, 1)), accrual: accrual.New(), shared: shared,
+		Time: virtual.Time{Now: epoch}, random: rand.New(rand.NewPCG(seed, 1)), accrual: accrual.New(), shared: shared,
 		dead: map[uint64]bool{}, slow: map[uint64]float64{}, frozen: make([]time.Time, poolBalancers),
 	}
 	var targets []view.Target
@@ -101,27 +100,19 @@
 			u.class = configuration.Unrepeatable
 		}
 		s.users = append(s.users, u)
-		s.after(time.Duration(s.random.Int64N(int64(poolPause))), func() { s.ask(u) })
+		s.After(time.Duration(s.random.Int64N(int64(poolPause))), func() { s.ask(u) })
 	}
 	s.tick()
 	return s
 }
 
-func (s *pool) after(d time.Duration, do func()) { heap.Push(&s.agenda, happening{s.now.Add(d), do}) }
-
-func (s *pool) run(until time.Duration) {
-	for len(s.agenda) > 0 && s.agenda[0].at.Sub(epoch) <= until {
-		h := heap.Pop(&s.agenda).(happening)
-		s.now = h.at
-		h.do()
-	}
-}
+func (s *pool) run(until time.Duration) { s.Run(epoch.Add(until)) }
 
 func (s *pool) tick() {
-	s.after(100*time.Millisecond, func() {
+	s.After(100*time.Millisecond, func() {
 		for i, r := range s.routers {
-			if !s.now.Before(s.frozen[i]) {
-				r.Tick(s.now)
+			if !s.Now.Before(s.frozen[i]) {
+				r.Tick(s.Now)
 			}
 		}
 		s.decide()
@@ -141,7 +132,7 @@
 
 // at lets a balancer do something, in the order of arrival once it stands still no more.
 func (s *pool) at(balancer int, do func()) {
-	if !s.now.Before(s.frozen[balancer]) {
+	if !s.Now.Before(s.frozen[balancer]) {
 		do()
 		return
 	}
@@ -149,9 +140,9 @@
 }
 
 func (s *pool) freeze(balancer int, lasts time.Duration) {
-	s.frozen[balancer] = s.now.Add(lasts)
-	s.after(lasts, func() {
-		if s.now.Before(s.frozen[balancer]) {
+	s.frozen[balancer] = s.Now.Add(lasts)
+	s.After(lasts, func() {
+		if s.Now.Before(s.frozen[balancer]) {
 			return
 		}
 		queue := s.queued[balancer]
@@ -164,7 +155,7 @@
 
 func (s *pool) route(u *user, p router.Packet, then func(router.Verdict)) {
 	r := s.routers[u.balancer]
-	v := r.Route(s.now, p)
+	v := r.Route(s.Now, p)
 	s.tell(u.balancer)
 	then(v)
 }
@@ -176,10 +167,10 @@
 		return
 	}
 	way := s.wayToVoter()
-	s.after(way, func() {
+	s.After(way, func() {
 		for _, e := range events {
 			e.Age += way
-			s.accrual.Note(s.now, string(rune('a'+balancer)), e)
+			s.accrual.Note(s.Now, string(rune('a'+balancer)), e)
 		}
 		s.decide()
 	})
@@ -197,22 +188,22 @@
 // decide lets the voter weigh the evidence and tell all balancers what changed.
 func (s *pool) decide() {
 	before := s.accrual.Version()
-	next := s.accrual.Decide(s.now, poolBalancers, s.passing)
+	next := s.accrual.Decide(s.Now, poolBalancers, s.passing)
 	if !next.IsZero() {
-		s.after(next.Sub(s.now), s.decide)
+		s.After(next.Sub(s.Now), s.decide)
 	}
 	if s.accrual.Version() == before && next.IsZero() {
 		return
 	}
-	all := s.accrual.Doubts(s.now)
+	all := s.accrual.Doubts(s.Now)
 	for i := range s.routers {
-		s.after(s.wayToVoter(), func() { s.at(i, func() { s.doubt(i, all) }) })
+		s.After(s.wayToVoter(), func() { s.at(i, func() { s.doubt(i, all) }) })
 	}
 }
 
 func (s *pool) doubt(balancer int, all []word.Doubt) {
-	s.doubts[balancer].Take(s.now, "voter", all)
-	for _, p := range s.routers[balancer].Doubt(s.now, s.doubts[balancer].All()) {
+	s.doubts[balancer].Take(s.Now, "voter", all)
+	for _, p := range s.routers[balancer].Doubt(s.Now, s.doubts[balancer].All()) {
 		for _, u := range s.users {
 			if u.packet.Caller == p.Caller {
 				s.reset(u)
@@ -236,14 +227,14 @@
 // ask begins a request.
 func (s *pool) ask(u *user) {
 	u.number++
-	u.begun, u.open = s.now, true
+	u.begun, u.open = s.Now, true
 	s.asked++
 	n := u.number
-	s.after(poolDeadline, func() {
+	s.After(poolDeadline, func() {
 		if u.open && u.number == n {
 			s.lost++
 			u.open, u.target = false, 0
-			s.after(poolPause, func() { s.ask(u) })
+			s.After(poolPause, func() { s.ask(u) })
 		}
 	})
 	s.send(u, 0)
@@ -267,7 +258,7 @@
 	})
 	if copies < len(repeatsAfter) {
 		flow := u.packet.Caller
-		s.after(repeatsAfter[copies]-u.elapsed(copies), func() {
+		s.After(repeatsAfter[copies]-u.elapsed(copies), func() {
 			if u.open && u.number == n && u.packet.Caller == flow && u.target != 0 {
 				s.send(u, copies+1)
 			}
@@ -293,7 +284,7 @@
 	n := u.number
 	p := u.packet
 	for copies, d := range append([]time.Duration{0}, repeatsAfter[:2]...) {
-		s.after(d, func() {
+		s.After(d, func() {
 			if !u.open || u.number != n || u.target != 0 || u.packet.Caller != p.Caller {
 				return
 			}
@@ -302,7 +293,7 @@
 				if v.Action != router.Forward || s.dead[v.Incarnation] || s.isLost() {
 					return
 				}
-				s.after(2*way, func() {
+				s.After(2*way, func() {
 					if u.open && u.number == n && u.target == 0 && u.packet.Caller == p.Caller {
 						u.packet.Opening, u.packet.Cookie, u.target = false, v.Cookie, v.Incarnation
 						s.send(u, 0)
@@ -319,7 +310,7 @@
 		return
 	}
 	work := time.Duration((0.5 + s.random.ExpFloat64()/2) * float64(poolWork) * max(s.slow[id], 1))
-	s.after(work+way, func() {
+	s.After(work+way, func() {
 		if !u.open || u.number != n || u.target != id {
 			return
 		}
@@ -327,7 +318,7 @@
 		u.packet.Sequence += 300
 		u.packet.Acknowledged += 2000
 		s.through(u, u.packet, func(router.Verdict) {})
-		s.after(time.Duration(s.random.ExpFloat64()*float64(poolPause)), func() { s.ask(u) })
+		s.After(time.Duration(s.random.ExpFloat64()*float64(poolPause)), func() { s.ask(u) })
 	})
 }
 
@@ -374,7 +365,7 @@
 		}
 		for range r.IntN(4) {
 			balancer, lasts := r.IntN(poolBalancers), time.Duration(r.IntN(1500))*time.Millisecond
-			s.after(time.Duration(r.IntN(2000))*time.Millisecond, func() { s.freeze(balancer, lasts) })
+			s.After(time.Duration(r.IntN(2000))*time.Millisecond, func() { s.freeze(balancer, lasts) })
 		}
 		s.run(3 * time.Second)
 		require.Zero(t, s.killed, "seed %d", seed)
@@ -384,10 +375,10 @@
 
 // Symptom: a flow was reset though its upstream served.
 // Events: upstreams are slow and packets are lost in a burst; balancers report that, are
-// asked for signs of life, and give them, all through other balancers on narrow links that
+// asked for liveness reports, and give them, all through other balancers on narrow links that
 // gather what they pass on.
 // Cause: they had 60 ms for that, which suffices where all ask the voters.
-func TestSignsOfLifeThroughOtherBalancersComeInTime(t *testing.T) {
+func TestRefutationsThroughOtherBalancersComeInTime(t *testing.T) {
 	// Seed 353 broke a flow with 60 ms.
 	for _, seed := range append([]uint64{353}, lo.RangeFrom(uint64(0), *seeds)...) {
 		s := newPool(t, seed, true)
--- a/internal/fanout/selection/fleet_test.go
+++ b/internal/fanout/selection/fleet_test.go
@@ -1,7 +1,6 @@
 package selection_test
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -18,6 +17,7 @@
 	"wasabideal/internal/fanout/origins"
 	"wasabideal/internal/fanout/selection"
 	"wasabideal/internal/fanout/tree"
+	"wasabideal/internal/standin/virtual"
 )
 
 // The fleet of the model: what a process asks, and how long it waits, is as in the product.
@@ -36,23 +36,6 @@
 	retryVoter = 200 * time.Millisecond
 )
 
-type happening struct {
-	at time.Time
-	do func()
-}
-
-type agenda []happening
-
-func (a agenda) Len() int           { return len(a) }
-func (a agenda) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
-func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)        { *a = append(*a, x.(happening)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // process is a voter or a balancer of the model.
 type process struct {
 	name, zone string
@@ -88,15 +71,14 @@
 
 // model plays a fleet in virtual time.
 type model struct {
-	now       time.Time
-	agenda    agenda
+	virtual.Time
 	random    *rand.Rand
 	shape     tree.Shape
 	processes map[string]*process
 	voters    []*process
 	balancers []*process
 	loss      float64
-	// changed is when each version was told to the voters.
+	// changed is when the voters got each version.
 	changed []time.Time
 	late    []string
 	fullest int
@@ -104,7 +86,7 @@
 
 func newModel(seed uint64, zones, each int) *model {
 	m := &model{
-		now: epoch, random: rand.New(rand.NewPCG(seed, 3)), shape: tree.Shape{Small: 8, Roots: 4, Fanout: 8},
+		Time: virtual.Time{Now: epoch}, random: rand.New(rand.NewPCG(seed, 3)), shape: tree.Shape{Small: 8, Roots: 4, Fanout: 8},
 		processes: map[string]*process{}, changed: []time.Time{epoch},
 	}
 	for i := range voters {
@@ -142,14 +124,12 @@
 	p.watches = map[string]*modelWatch{}
 	p.selection = selection.New(selection.Settings{
 		Self: p.name, Shape: m.shape, StaleAfter: knownWithin / 2, Jitter: m.random.Float64(),
-	}, m.now)
+	}, m.Now)
 	m.every(p, tickEvery, func() { m.tick(p) })
 	m.every(p, members.AttendEvery, func() { m.attend(p) })
-	m.after(200*time.Millisecond, m.alive(p, func() { m.attend(p) }))
+	m.After(200*time.Millisecond, m.alive(p, func() { m.attend(p) }))
 }
 
-func (m *model) after(d time.Duration, do func()) { heap.Push(&m.agenda, happening{m.now.Add(d), do}) }
-
 // alive returns what does something only in the present life of a process, once it does
 // not stand still.
 func (m *model) alive(p *process, do func()) func() {
@@ -158,7 +138,7 @@
 		if p.off || p.start != start {
 			return
 		}
-		if m.now.Before(p.pausedUntil) {
+		if m.Now.Before(p.pausedUntil) {
 			p.queued = append(p.queued, do)
 			return
 		}
@@ -167,25 +147,18 @@
 }
 
 func (m *model) every(p *process, pause time.Duration, do func()) {
-	m.after(pause, m.alive(p, func() {
+	m.After(pause, m.alive(p, func() {
 		do()
 		m.every(p, pause, do)
 	}))
 }
 
-func (m *model) run(until time.Duration) {
-	for len(m.agenda) > 0 && m.agenda[0].at.Sub(epoch) <= until {
-		h := heap.Pop(&m.agenda).(happening)
-		m.now = h.at
-		h.do()
-	}
-	m.now = epoch.Add(until)
-}
+func (m *model) run(until time.Duration) { m.Run(epoch.Add(until)) }
 
 func (m *model) pause(p *process, lasts time.Duration) {
-	p.pausedUntil = m.now.Add(lasts)
+	p.pausedUntil = m.Now.Add(lasts)
 	p.disturbed = p.pausedUntil
-	m.after(lasts, func() {
+	m.After(lasts, func() {
 		queued := p.queued
 		p.queued = nil
 		for _, do := range queued {
@@ -196,11 +169,11 @@
 
 func (m *model) kill(p *process, power bool, lasts time.Duration) {
 	p.off = true
-	p.disturbed = m.now.Add(lasts)
+	p.disturbed = m.Now.Add(lasts)
 	if !power {
 		lasts = 100 * time.Millisecond
 	}
-	m.after(lasts, func() {
+	m.After(lasts, func() {
 		if p.off {
 			m.boot(p)
 		}
@@ -227,7 +200,7 @@
 		way += 200 * time.Millisecond
 	}
 	start := to.start
-	m.after(way, func() {
+	m.After(way, func() {
 		if !m.reaches(from, to) || to.off || to.start != start {
 			return
 		}
@@ -237,9 +210,9 @@
 
 // tick lets a balancer ask whom it wants to.
 func (m *model) tick(p *process) {
-	p.followers.Tick(m.now)
-	if p.census.Tick(m.now) {
-		p.selection.Fleet(m.now, p.census.Addresses())
+	p.followers.Tick(m.Now)
+	if p.census.Tick(m.Now) {
+		p.selection.Fleet(m.Now, p.census.Addresses())
 	}
 	m.steer(p)
 }
@@ -251,9 +224,9 @@
 			answering++
 		}
 	}
-	p.selection.Voters(m.now, answering, len(m.voters))
-	p.selection.Probed(m.now)
-	s := p.selection.Decide(m.now)
+	p.selection.Voters(m.Now, answering, len(m.voters))
+	p.selection.Probed(m.Now)
+	s := p.selection.Decide(m.Now)
 	var wanted []string
 	if s.Voters {
 		for _, v := range m.voters {
@@ -265,7 +238,7 @@
 		if !slices.Contains(wanted, name) {
 			w.over = true
 			delete(p.watches, name)
-			p.census.Drop(m.now, name)
+			p.census.Drop(m.Now, name)
 		}
 	}
 	for _, name := range wanted {
@@ -284,9 +257,9 @@
 		hold, grace = voterHold, voterGrace
 	}
 	answered := false
-	known, sent := p.origins.Known(m.now), m.now
+	known, sent := p.origins.Known(m.Now), m.Now
 	fleet := p.census.Of(w.target.name).Version
-	m.after(hold+grace, m.alive(p, func() {
+	m.After(hold+grace, m.alive(p, func() {
 		if !answered && !w.over {
 			answered = true
 			m.failed(p, w)
@@ -296,7 +269,7 @@
 		m.reply(w.target, p, known, fleet, hold, func(x []origins.Origin, l census.List, held time.Duration) {
 			if !answered && !w.over {
 				answered = true
-				m.answered(p, w, x, l, max(m.now.Sub(sent)-held, 0))
+				m.answered(p, w, x, l, max(m.Now.Sub(sent)-held, 0))
 			}
 		})
 	})
@@ -304,11 +277,11 @@
 
 // reply answers at once with news, or after the hold.
 func (m *model) reply(s, to *process, known []origins.Known, fleet uint64, hold time.Duration, then func([]origins.Origin, census.List, time.Duration)) {
-	begun := m.now
-	s.asked[to.name] = m.now
+	begun := m.Now
+	s.asked[to.name] = m.Now
 	m.fullest = max(m.fullest, len(s.asked))
 	if s.voter {
-		s.fleet.Hear(m.now, members.Attendance{Member: member.Member{Zone: to.zone, Address: to.name}})
+		s.fleet.Hear(m.Now, members.Attendance{Member: member.Member{Zone: to.zone, Address: to.name}})
 	}
 	done := false
 	answer := func(must bool) {
@@ -318,20 +291,20 @@
 		}
 		done = true
 		l := m.list(s, to, fleet)
-		held := m.now.Sub(begun)
+		held := m.Now.Sub(begun)
 		m.send(s, to, 60+size(x)+size(l), func() { then(x, l, held) })
 	}
 	answer(false)
 	if !done {
 		s.waiting = append(s.waiting, func() { answer(false) })
-		m.after(hold, m.alive(s, func() { answer(true) }))
+		m.After(hold, m.alive(s, func() { answer(true) }))
 	}
 }
 
 // news is what a process tells one that has heard so far.
 func (m *model) news(s *process, known []origins.Known) ([]origins.Origin, bool) {
 	if !s.voter {
-		return s.origins.After(m.now, known)
+		return s.origins.After(m.Now, known)
 	}
 	x := origins.Origin{Known: origins.Known{Voter: s.name, Life: uint64(s.start), Version: s.version}}
 	i := slices.IndexFunc(known, func(k origins.Known) bool { return k.Voter == s.name })
@@ -362,15 +335,15 @@
 		if x.Age <= knownWithin/2 {
 			fresh++
 		}
-		news = p.origins.Take(m.now, x) || news
+		news = p.origins.Take(m.Now, x) || news
 	}
 	if len(l.Members) > 0 {
-		p.census.Take(m.now, w.target.name, l)
+		p.census.Take(m.Now, w.target.name, l)
 		addresses := p.census.Addresses()
-		p.selection.Fleet(m.now, addresses)
+		p.selection.Fleet(m.Now, addresses)
 	}
 	if !w.target.voter {
-		p.selection.Answered(m.now, w.target.name, fresh)
+		p.selection.Answered(m.Now, w.target.name, fresh)
 	}
 	if news {
 		m.wake(p)
@@ -381,7 +354,7 @@
 		if !news {
 			pause = 20 * time.Millisecond
 		}
-		m.after(pause, m.alive(p, func() {
+		m.After(pause, m.alive(p, func() {
 			if !w.over {
 				m.ask(p, w)
 			}
@@ -392,7 +365,7 @@
 func (m *model) failed(p *process, w *modelWatch) {
 	w.answers = false
 	if w.target.voter {
-		m.after(retryVoter, m.alive(p, func() {
+		m.After(retryVoter, m.alive(p, func() {
 			if !w.over {
 				m.ask(p, w)
 			}
@@ -401,8 +374,8 @@
 	}
 	w.over = true
 	delete(p.watches, w.target.name)
-	p.census.Drop(m.now, w.target.name)
-	p.selection.Failed(m.now, w.target.name)
+	p.census.Drop(m.Now, w.target.name)
+	p.selection.Failed(m.Now, w.target.name)
 	m.steer(p)
 }
 
@@ -412,12 +385,12 @@
 		return
 	}
 	p.waking = true
-	m.after(max(gather-m.now.Sub(p.woken), 0), func() {
+	m.After(max(gather-m.Now.Sub(p.woken), 0), func() {
 		p.waking = false
 		if p.off {
 			return
 		}
-		p.woken = m.now
+		p.woken = m.Now
 		waiting := p.waiting
 		p.waiting = nil
 		for _, f := range waiting {
@@ -428,7 +401,7 @@
 
 // attend tells those above who follows this balancer.
 func (m *model) attend(p *process) {
-	all := p.followers.Attendances(m.now)
+	all := p.followers.Attendances(m.Now)
 	var up []*process
 	if parent := p.selection.Parent(); parent != "" {
 		all = append(all, members.Attendance{Member: member.Member{Zone: p.zone, Address: p.name}})
@@ -450,7 +423,7 @@
 				into = t.fleet
 			}
 			for _, a := range all {
-				into.Hear(m.now, a)
+				into.Hear(m.Now, a)
 			}
 		})
 	}
@@ -458,14 +431,14 @@
 
 // change lets all voters know something new, and checks who knows it in time.
 func (m *model) change() {
-	m.changed = append(m.changed, m.now)
+	m.changed = append(m.changed, m.Now)
 	version := uint64(len(m.changed) - 1)
 	for _, v := range m.voters {
 		v.version = version
 		m.wake(v)
 	}
-	told := m.now
-	m.after(knownWithin, func() { m.check(version, told) })
+	told := m.Now
+	m.After(knownWithin, func() { m.check(version, told) })
 }
 
 // check notes the balancers that ran undisturbed and do not know a change in time.
@@ -475,12 +448,12 @@
 			continue
 		}
 		best := uint64(0)
-		for _, k := range b.origins.Known(m.now) {
+		for _, k := range b.origins.Known(m.Now) {
 			best = max(best, k.Version)
 		}
 		if best < version {
 			m.late = append(m.late, fmt.Sprintf("%s knows %d and not %d after %s; level %d, parent %q",
-				b.name, best, version, m.now.Sub(told), b.selection.Level(), b.selection.Parent()))
+				b.name, best, version, m.Now.Sub(told), b.selection.Level(), b.selection.Parent()))
 		}
 	}
 }
@@ -503,7 +476,7 @@
 func (m *model) followed(p *process) int {
 	n := 0
 	for _, at := range p.asked {
-		if m.now.Sub(at) <= time.Second {
+		if m.Now.Sub(at) <= time.Second {
 			n++
 		}
 	}
@@ -526,7 +499,7 @@
 			m := newModel(1, 5, each)
 			m.calm()
 			for n := range 100 {
-				m.after(time.Duration(n)*100*time.Millisecond, m.change)
+				m.After(time.Duration(n)*100*time.Millisecond, m.change)
 			}
 			m.run(30 * time.Second)
 			require.Empty(t, m.late)
@@ -552,7 +525,7 @@
 		at, lasts := time.Duration(r.IntN(8000))*time.Millisecond, time.Duration(300+r.IntN(3000))*time.Millisecond
 		share, kind, zone := 0.02+0.3*r.Float64(), r.IntN(6), fmt.Sprint("z", r.IntN(5))
 		top := r.IntN(3) == 0
-		m.after(at, func() {
+		m.After(at, func() {
 			for _, b := range m.balancers {
 				if b.off || r.Float64() > share || top && (b.zone != zone || b.selection.Level() != 0) {
 					continue
@@ -562,16 +535,16 @@
 		})
 	}
 	if r.IntN(2) == 0 {
-		m.after(time.Duration(r.IntN(8000))*time.Millisecond, func() {
+		m.After(time.Duration(r.IntN(8000))*time.Millisecond, func() {
 			v := m.voters[r.IntN(len(m.voters))]
 			v.off = true
-			m.after(time.Duration(r.IntN(3000))*time.Millisecond, func() { m.boot(v) })
+			m.After(time.Duration(r.IntN(3000))*time.Millisecond, func() { m.boot(v) })
 		})
 	}
 }
 
 func (m *model) fault(b *process, kind int, lasts time.Duration) {
-	b.disturbed = m.now.Add(lasts)
+	b.disturbed = m.Now.Add(lasts)
 	switch kind {
 	case 0:
 		m.pause(b, lasts)
@@ -581,12 +554,12 @@
 		m.kill(b, true, lasts)
 	case 3:
 		b.cut = true
-		m.after(lasts, func() { b.cut = false })
+		m.After(lasts, func() { b.cut = false })
 	case 4:
 		b.deaf = true
-		m.after(lasts, func() { b.deaf = false })
+		m.After(lasts, func() { b.deaf = false })
 	case 5:
-		b.disturbed = m.now
+		b.disturbed = m.Now
 		m.kill(b, false, 0)
 	}
 }
@@ -610,7 +583,7 @@
 	m.loss = []float64{0, 0.01, 0.03}[r.IntN(3)]
 	m.disturb(r)
 	for n := range 30 {
-		m.after(time.Duration(n)*400*time.Millisecond, m.change)
+		m.After(time.Duration(n)*400*time.Millisecond, m.change)
 	}
 	m.run(32 * time.Second)
 	m.ringless(t)
--- a/internal/log/followers/followers.go
+++ b/internal/log/followers/followers.go
@@ -1,8 +1,6 @@
 package followers
 
 import (
-	"bufio"
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -11,10 +9,9 @@
 	"slices"
 	"text/tabwriter"
 	"time"
-)
 
-// lineLimit bounds one line in bytes; longer ones are no lines of ours.
-const lineLimit = 1 << 20
+	"wasabideal/internal/log/lines"
+)
 
 // The messages that tell of it.
 const (
@@ -37,7 +34,7 @@
 	FreshVoters int
 }
 
-// EmptyError says that no log tells of a balancer.
+// EmptyError says that no log has a balancer's lines.
 type EmptyError struct{}
 
 func (*EmptyError) Error() string {
@@ -63,25 +60,14 @@
 	return &Followers{balancers: map[string]balancer{}, names: map[string]string{}}
 }
 
-// Read takes one log; lines that are none of ours are passed over, and so is what stands
-// before a line's brace.
+// Read takes one log; lines that are none of ours are passed over.
 func (f *Followers) Read(r io.Reader) error {
-	s := bufio.NewScanner(r)
-	s.Buffer(nil, lineLimit)
-	for s.Scan() {
-		begin := bytes.IndexByte(s.Bytes(), '{')
-		if begin < 0 {
-			continue
-		}
+	return lines.Read(r, func(line []byte) {
 		var l wireLine
-		if err := json.Unmarshal(s.Bytes()[begin:], &l); err == nil {
+		if err := json.Unmarshal(line, &l); err == nil {
 			f.note(l)
 		}
-	}
-	if err := s.Err(); err != nil {
-		return fmt.Errorf("read log: %w", err)
-	}
-	return nil
+	})
 }
 
 func (f *Followers) note(l wireLine) {
--- /dev/null
+++ b/internal/log/lines/doc.go
@@ -0,0 +1,2 @@
+// Package lines reads the JSON lines of processes' logs.
+package lines
--- a/internal/log/story/line.go
+++ b/internal/log/story/line.go
@@ -1,18 +1,15 @@
 package story
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"strings"
 	"time"
-)
 
-// lineLimit bounds one line in bytes; longer ones are no lines of ours.
-const lineLimit = 1 << 20
+	"wasabideal/internal/log/lines"
+)
 
 // The messages that a story is made of.
 const (
@@ -67,31 +64,22 @@
 	return fmt.Sprintf("%s holds no log lines; pass files of JSON lines as the processes write them", e.Name)
 }
 
-// readLines reads all log lines; what stands before a line's brace, as a collector
-// may put it there, is passed over, and so are lines that are none.
+// readLines reads all log lines.
 func readLines(name string, r io.Reader) ([]line, error) {
-	var lines []line
-	s := bufio.NewScanner(r)
-	s.Buffer(nil, lineLimit)
-	for s.Scan() {
-		begin := bytes.IndexByte(s.Bytes(), '{')
-		if begin < 0 {
-			continue
-		}
-		text := string(s.Bytes()[begin:])
+	var all []line
+	err := lines.Read(r, func(text []byte) {
 		var w wireLine
-		if err := json.Unmarshal([]byte(text), &w); err != nil || w.Message == "" {
-			continue
+		if err := json.Unmarshal(text, &w); err == nil && w.Message != "" {
+			all = append(all, line{wireLine: w, text: string(text)})
 		}
-		lines = append(lines, line{wireLine: w, text: text})
-	}
-	if err := s.Err(); err != nil && !errors.Is(err, bufio.ErrTooLong) {
-		return nil, fmt.Errorf("read %s: %w", name, err)
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
 	}
-	if len(lines) == 0 {
+	if len(all) == 0 {
 		return nil, &NoLinesError{Name: name}
 	}
-	return lines, nil
+	return all, nil
 }
 
 // timeFormat shows times of one day to a tenth of a millisecond.
--- a/internal/silence/accrual/accrual.go
+++ b/internal/silence/accrual/accrual.go
@@ -36,11 +36,11 @@
 	// repetition for its answer: several round trips to the farthest zone, the work of
 	// a usual request, and a slow VM's turn.
 	objectionTime = 60 * time.Millisecond
-	// passingTime is added for each balancer that passes on the question and the sign of
-	// life: the doubts of several voters are gathered there, reports are sent each 20 ms, and
+	// passingTime is added for each balancer that passes on the doubt and its
+	// refutation: the doubts of several voters are gathered there, reports are sent each 20 ms, and
 	// both wait on one more narrow link. Without it, flows of upstreams that live were reset
 	// where links were full and two balancers were on the way
-	// (TestSignsOfLifeThroughOtherBalancersComeInTime).
+	// (TestRefutationsThroughOtherBalancersComeInTime).
 	passingTime = 120 * time.Millisecond
 	// eventFor is how long a packet counts as evidence: as long as its caller waits.
 	eventFor = 1500 * time.Millisecond
--- a/internal/silence/sample/sample.go
+++ b/internal/silence/sample/sample.go
@@ -15,10 +15,10 @@
 	// evidence, and some may have been answered meanwhile.
 	missedMost = 6
 	missedEach = 3
-	// answeredMost is how many signs of life are in any case: one refutes the evidence of
+	// answeredMost is how many liveness reports are in any case: one refutes the evidence of
 	// before, and another is for a report that is lost. Beyond that one passes that is
 	// answeredStep later than the last: a packet is unanswered for much longer before it
-	// counts, so that a later sign of life than one that was held back comes in time.
+	// counts, so that a later liveness report than one that was held back comes in time.
 	answeredMost = 2
 	answeredStep = 20 * time.Millisecond
 )
@@ -29,7 +29,7 @@
 	since            time.Time
 	missed, answered int
 	byBalancer       map[string]int
-	// alive is the latest sign of life that was passed on.
+	// alive is the latest liveness report that was passed on.
 	alive time.Time
 }
 
--- a/internal/silence/sample/sample_test.go
+++ b/internal/silence/sample/sample_test.go
@@ -57,8 +57,8 @@
 
 // Symptom: flows of an upstream that lives were reset.
 // Events: balancers see it answer, one after the other; packets to it were lost between.
-// Cause: later signs of life were held back with the earlier ones.
-func TestLaterSignsOfLifeArePassedOn(t *testing.T) {
+// Cause: later liveness reports were held back with the earlier ones.
+func TestLaterLivenessReportsArePassedOn(t *testing.T) {
 	s := sample.New()
 	now := epoch
 	for i := range 10 {
--- a/internal/upstream/view/view.go
+++ b/internal/upstream/view/view.go
@@ -149,7 +149,7 @@
 }
 
 // Since returns what a voter told in a life after a version, as the voter would tell it
-// now. What it only recalled is left out: that lapses by the clock of whoever was told.
+// now. What it only recalled is left out: that lapses by the clock of the receiver.
 func (v *View) Since(now time.Time, voter string, life, version uint64) []directory.Notice {
 	s := v.sources[voter]
 	if s == nil || s.life != life {
--- a/internal/upstream/view/view_test.go
+++ b/internal/upstream/view/view_test.go
@@ -322,7 +322,7 @@
 
 // Symptom: upstreams of a zone that was cut off counted as alive everywhere.
 // Events: a balancer passes on what it heard of a voter before the cut.
-// Cause: a voter counted as in touch whenever anything was told of it.
+// Cause: a voter counted as in touch whenever anything of it was passed on.
 func TestContactIsThatOfTheVoterItself(t *testing.T) {
 	v := newView()
 	v.Hear(epoch, view.News{Voter: "v2", Life: 1, Version: 1, Contact: epoch})
