--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/lo"
 
@@ -14,6 +15,7 @@
 	"wasabideal/internal/fanout/origins"
 	"wasabideal/internal/fanout/selection"
 	"wasabideal/internal/fanout/tree"
+	"wasabideal/internal/fanout/turn"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/silence/word"
 	"wasabideal/internal/wire/pool"
@@ -80,12 +82,8 @@
 	named   map[string]time.Time
 	seeds   map[string]bool
 	origins *origins.Origins
-	// first is the voter that is asked after the start, since a time; toldAll says that one
-	// has told a configuration and upstreams, toldLittle which answered without.
-	first      string
-	firstAt    time.Time
-	toldAll    bool
-	toldLittle map[string]bool
+	// turn is which voter is asked after the start.
+	turn turn.Turn
 	// selection is nil where only voters are followed.
 	selection *selection.Selection
 	census    *census.Census
@@ -109,7 +107,7 @@
 // New returns a follower that begins with Start.
 func New(s Settings, l Listener, log hclog.Logger) *Follower {
 	f := &Follower{
-		settings: s, log: log, listener: l, watches: map[string]*watch{}, named: map[string]time.Time{}, toldLittle: map[string]bool{},
+		settings: s, log: log, listener: l, watches: map[string]*watch{}, named: map[string]time.Time{},
 		origins: origins.New(), census: census.New(), followers: members.New(), pool: pool.New(s.Token),
 	}
 	f.fetcher = newFetcher(s.Token, l, f.voters, log)
@@ -234,7 +232,7 @@
 // otherwise hold connections to all voters for each of its balancers.
 func (f *Follower) firstSeed() string {
 	first := ""
-	if !f.toldAll {
+	if !f.turn.Over() {
 		return first
 	}
 	for a := range f.seeds {
@@ -338,5 +336,7 @@
 	}
 }
 
+func hash(s string) uint64 { return xxhash.Sum64String(s) }
+
 // jitter returns a number between 0 and 1 that differs between balancers.
 func jitter(address string) float64 { return float64(hash(address)%1000) / 1000 }
--- a/internal/cookie/follower/parent.go
+++ b/internal/cookie/follower/parent.go
@@ -4,11 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/samber/lo"
-
 	"wasabideal/internal/fanout/census"
-	"wasabideal/internal/fanout/members"
 	"wasabideal/internal/fanout/relay"
 	"wasabideal/internal/wire/rpc"
 )
@@ -24,8 +20,6 @@
 	idlePause = 20 * time.Millisecond
 )
 
-func hash(s string) uint64 { return xxhash.Sum64String(s) }
-
 // askParent asks a balancer until the context ends or it fails.
 func (f *Follower) askParent(ctx context.Context, address string) {
 	client := rpc.NewClient(address, f.settings.Token)
@@ -103,85 +97,3 @@
 		Fleet: f.census.Of(address).Version, Known: f.origins.Known(f.settings.Clock()),
 	}
 }
-
-// News answers a balancer that follows this one, but for the revision and the notices.
-func (f *Follower) News(now time.Time, q relay.Question) (relay.Answer, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	origins, news := f.origins.After(now, q.Known)
-	a := relay.Answer{
-		Origins: origins, FleetVersion: f.census.Version(),
-		Voters: lo.Filter(lo.Keys(f.named), func(v string, _ int) bool { return now.Sub(f.named[v]) < forgetAfter }),
-	}
-	if q.Fleet != a.FleetVersion {
-		a.Fleet = f.census.Members()
-	}
-	return a, news
-}
-
-// Attend notes the balancers that follow this one.
-func (f *Follower) Attend(now time.Time, all []members.Attendance) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, a := range all {
-		f.followers.Hear(now, a)
-	}
-}
-
-// attendance returns whom to report to a source: nobody where it is not the way up.
-func (f *Follower) attendance(address string) []members.Attendance {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.selection == nil || !lo.Contains(f.upward(), address) {
-		return nil
-	}
-	all := f.followers.Attendances(f.settings.Clock())
-	if w := f.watches[address]; w != nil && !w.voter {
-		// A voter hears of the balancer itself by its questions.
-		all = append(all, members.Attendance{Member: f.settings.Self})
-	}
-	return all
-}
-
-// Standing is whom the balancer follows and how old its knowledge is.
-type Standing struct {
-	// Parent is empty where the voters are followed.
-	Parent string
-	Level  int
-	// Fresh is how many voters were in touch lately, directly or not.
-	Fresh int
-	// Balancers is how many of the zone are known, Followers how many follow this one,
-	// directly or not.
-	Balancers, Followers int
-	// Age is the time since the voter was in touch that was heard of last.
-	Age time.Duration
-}
-
-// Level is the balancer's level in the tree of its zone.
-func (f *Follower) Level() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.selection == nil {
-		return 0
-	}
-	return f.selection.Level()
-}
-
-// Standing returns whom the balancer follows.
-func (f *Follower) Standing(now time.Time) Standing {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := Standing{
-		Fresh: f.origins.Fresh(now, f.settings.StaleAfter), Balancers: len(f.census.Members()),
-		Followers: len(f.followers.Attendances(now)),
-	}
-	for i, k := range f.origins.Known(now) {
-		if i == 0 || k.Age < s.Age {
-			s.Age = k.Age
-		}
-	}
-	if f.selection != nil {
-		s.Parent, s.Level = f.selection.Parent(), f.selection.Level()
-	}
-	return s
-}
--- a/internal/cookie/follower/voters.go
+++ b/internal/cookie/follower/voters.go
@@ -14,12 +14,8 @@
 	"wasabideal/internal/wire/rpc"
 )
 
-const (
-	// turnFor is how long the first voter that is asked after a start has for its answer
-	// before another one is asked, too, and turnPause how often the others look.
-	turnFor   = 150 * time.Millisecond
-	turnPause = 5 * time.Millisecond
-)
+// turnPause is how often a voter that waits for its turn looks.
+const turnPause = 5 * time.Millisecond
 
 // askVoter asks one voter until the context ends, or the voter is none any more.
 func (f *Follower) askVoter(ctx context.Context, address string, w *watch) {
@@ -30,7 +26,7 @@
 	answered, failing := f.settings.Clock(), false
 	for ctx.Err() == nil {
 		err := client.Connect(ctx)
-		if err == nil && f.turn(ctx, address) {
+		if err == nil && f.waitForTurn(ctx, address) {
 			err = f.askOnce(ctx, client, address)
 		}
 		f.answers(address, w, err == nil && ctx.Err() == nil)
@@ -57,10 +53,8 @@
 	}
 }
 
-// turn waits until a voter may be asked. Of those that a balancer reaches after its start
-// one is asked first, and another where it does not answer soon: all voters start when all
-// balancers do, and each answer with all upstreams takes them a third of a millisecond.
-func (f *Follower) turn(ctx context.Context, address string) bool {
+// waitForTurn waits until a voter may be asked, and says whether it may.
+func (f *Follower) waitForTurn(ctx context.Context, address string) bool {
 	for ctx.Err() == nil {
 		if f.mayAsk(address) {
 			return true
@@ -76,32 +70,20 @@
 func (f *Follower) mayAsk(address string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.settings.Clock()
-	if f.toldAll || f.selection == nil || f.toldLittle[address] {
-		return true
-	}
-	if f.first == address || f.first == "" || now.Sub(f.firstAt) >= turnFor {
-		f.first, f.firstAt = address, now
-		return true
-	}
-	return false
+	return f.selection == nil || f.turn.May(f.settings.Clock(), address)
 }
 
-// answers notes whether a voter answered its last question. Once one has told all that it
-// takes the others need not be asked: one that came back with an empty disk tells nothing.
+// answers notes whether a voter answered its last question.
 func (f *Follower) answers(address string, w *watch, does bool) {
-	told := does && f.listener.Informed() && f.listener.Held().Revision > 0
+	all := f.listener.Informed() && f.listener.Held().Revision > 0
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w.answers = does
-	if f.toldAll {
-		return
-	}
-	if f.first == address {
-		f.first = ""
-	}
-	f.toldLittle[address] = does
-	if f.toldAll = told; told {
+	switch {
+	case !does:
+		f.turn.Failed(address)
+	case f.turn.Answered(address, all):
+		// The others need not be asked, if this one suffices.
 		f.steer(f.settings.Clock())
 	}
 }
