--- a/internal/control/upstreams/upstreams.go
+++ b/internal/control/upstreams/upstreams.go
@@ -14,6 +14,7 @@
 	"wasabideal/internal/control/referral"
 	"wasabideal/internal/fanout/member"
 	"wasabideal/internal/fanout/tree"
+	"wasabideal/internal/log/pace"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/silence/word"
 	"wasabideal/internal/upstream/handover"
@@ -31,6 +32,9 @@
 // about a second and then turn to another voter.
 const shareTimeout = 600 * time.Millisecond
 
+// notTakenLines bounds the log lines a second on announcements that are not taken.
+const notTakenLines = 10
+
 // UnsharedError says that too few voters took a departure.
 type UnsharedError struct{ Holders, Needed int }
 
@@ -89,6 +93,7 @@
 	mu       sync.Mutex
 	clients  map[string]*rpc.Client
 	referral *referral.Referral
+	pace     *pace.Pace
 	// toVoters are what other voters are handed.
 	toVoters map[string]*handover.Handover
 }
@@ -96,7 +101,7 @@
 // New returns the announcements' taker for a feed.
 func New(s Settings, f *feed.Feed, log hclog.Logger) *Upstreams {
 	return &Upstreams{
-		settings: s, feed: f, log: log, clients: map[string]*rpc.Client{}, referral: referral.New(s.Shape),
+		settings: s, feed: f, log: log, clients: map[string]*rpc.Client{}, referral: referral.New(s.Shape), pace: pace.New(notTakenLines),
 		toVoters: map[string]*handover.Handover{},
 	}
 }
@@ -120,13 +125,24 @@
 // upstream itself, since they are acknowledged only once a majority holds them.
 func (u *Upstreams) handedOver(now time.Time, a handover.Announcement) {
 	if a.Upstream.State != upstream.Ready || !u.feed.Configured(a.Upstream.Service) {
-		u.log.Warn("announcement of a balancer not taken", "Incarnation", fmt.Sprintf("%x", a.Upstream.Incarnation),
-			"Service", a.Upstream.Service, "State", a.Upstream.State.String())
+		u.noteNotTaken(now, a.Upstream)
 		return
 	}
 	u.note(now, a)
 }
 
+// noteNotTaken logs an announcement that a balancer took and this voter did not, at a
+// bounded rate: a writer that gets them wrong may send hundreds.
+func (u *Upstreams) noteNotTaken(now time.Time, a upstream.Upstream) {
+	u.mu.Lock()
+	passed, ok := u.pace.Take(now)
+	u.mu.Unlock()
+	if ok {
+		u.log.Warn("announcement of a balancer not taken", "Incarnation", fmt.Sprintf("%x", a.Incarnation),
+			"Service", a.Service, "State", a.State.String(), "MoreBefore", passed)
+	}
+}
+
 // Refer returns the address to which an upstream is to announce itself from now on, and
 // none where that is here.
 func (u *Upstreams) Refer(a upstream.Upstream) string {
--- a/internal/control/upstreams/upstreams_test.go
+++ b/internal/control/upstreams/upstreams_test.go
@@ -1,20 +1,27 @@
 package upstreams_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/control/upstreams"
+	"wasabideal/internal/fanout/member"
+	"wasabideal/internal/fanout/members"
+	"wasabideal/internal/fanout/tree"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/standin/server"
 	"wasabideal/internal/upstream/directory"
+	"wasabideal/internal/upstream/handover"
+	"wasabideal/internal/upstream/home"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -40,6 +47,10 @@
 		u := upstreams.New(upstreams.Settings{
 			Token: "group", Clock: time.Now, Self: addresses[i], Known: func() []string { return addresses },
 			Voting: func() []string { return addresses },
+			Shape:  tree.Shape{Roots: 4, Fanout: 8}, AnnounceEvery: 100 * time.Millisecond,
+			Answering: func() []home.Voter {
+				return lo.Map(addresses, func(a string, i int) home.Voter { return home.Voter{Address: a, Zone: zoneOf(i)} })
+			},
 		}, f, hclog.NewNullLogger())
 		out = append(out, voter{addresses, f, u})
 		if i >= n-down {
@@ -53,6 +64,9 @@
 	return out
 }
 
+// zoneOf is the availability zone of the voter with a number: a, b and so on.
+func zoneOf(n int) string { return string(rune('a' + n)) }
+
 func leaving() upstream.Upstream {
 	return upstream.Upstream{Identity: upstream.Identity{Service: "orders", Incarnation: 7}, Sequence: 3, State: upstream.Draining}
 }
@@ -136,3 +150,72 @@
 	require.Len(t, notices, 1)
 	require.False(t, notices[0].Replaced)
 }
+
+// withBalancers lets a voter know of so many balancers of zone a.
+func withBalancers(v voter, n int) {
+	for i := range n {
+		m := member.Member{Zone: "a", Address: fmt.Sprintf("10.1.0.%d:7720", i+1), Announcements: fmt.Sprintf("10.1.0.%d:7721", i+1)}
+		v.feed.Attend(time.Now(), []members.Attendance{{Member: m}})
+	}
+}
+
+func inZoneA() upstream.Upstream {
+	return upstream.Upstream{
+		Identity: upstream.Identity{Service: "orders", Incarnation: 9, Address: netip.MustParseAddrPort("10.1.64.1:80")},
+		Zone:     "a", Sequence: 5,
+	}
+}
+
+func heard(v voter) int {
+	all, _ := v.feed.Notices(time.Now())
+	return len(all)
+}
+
+// Symptom: where all balancers of a large fleet restarted, each upstream was news to all of
+// them six times.
+// Events: the balancer that an upstream announces itself to has ended; it turns to any voter.
+// Cause: each voter that it reached told of it, and later that it heard it no longer.
+func TestAnnouncementIsHandedToTheVoterOfItsZone(t *testing.T) {
+	all := voters(t, 2, 0)
+	withBalancers(all[1], 9)
+	require.NoError(t, all[1].upstreams.Announce(t.Context(), inZoneA(), 0))
+	require.Equal(t, 1, heard(all[0]))
+	require.Zero(t, heard(all[1]))
+	require.NotEmpty(t, all[1].upstreams.Refer(inZoneA()))
+}
+
+func TestAnnouncementStaysWhereItsVoterDoesNotAnswer(t *testing.T) {
+	all := voters(t, 3, 1)
+	withBalancers(all[0], 9)
+	u := inZoneA()
+	u.Zone = "c"
+	for i := range 9 {
+		m := member.Member{Zone: "c", Address: fmt.Sprintf("10.3.0.%d:7720", i+1)}
+		all[0].feed.Attend(time.Now(), []members.Attendance{{Member: m}})
+	}
+	require.NoError(t, all[0].upstreams.Announce(t.Context(), u, 0))
+	require.Equal(t, 1, heard(all[0]))
+}
+
+func TestAnnouncementsOfSmallZonesStayWhereTheyAreMade(t *testing.T) {
+	all := voters(t, 2, 0)
+	withBalancers(all[1], 4)
+	require.NoError(t, all[1].upstreams.Announce(t.Context(), inZoneA(), 0))
+	require.Equal(t, 1, heard(all[1]))
+	require.Empty(t, all[1].upstreams.Refer(inZoneA()))
+}
+
+// Balancers hand on no departures: one would be acknowledged before a majority holds it.
+func TestDepartureThatABalancerHandsOnIsNotTaken(t *testing.T) {
+	all := voters(t, 1, 0)
+	client := rpc.NewClient(all[0].known[0], "group")
+	t.Cleanup(client.Close)
+	_, err := rpc.Call[[]handover.Announcement, struct{}](t.Context(), client, upstreams.HandOverMethod, []handover.Announcement{
+		{Upstream: leaving()}, {Upstream: inZoneA(), Age: time.Second},
+	})
+	require.NoError(t, err)
+	told, _ := all[0].feed.Notices(time.Now())
+	require.Len(t, told, 1)
+	require.Equal(t, uint64(9), told[0].Upstream.Incarnation)
+	require.GreaterOrEqual(t, told[0].Age, time.Second, "it was heard when the balancer took it")
+}
