--- a/internal/control/feed/answer.go
+++ b/internal/control/feed/answer.go
@@ -95,7 +95,7 @@
 	a.Encoded = body
 	if q.Recalled && q.Self != nil {
 		// Without it the balancer is told by its parent, some time later.
-		a.Elsewhere, _ = f.elsewhere.encodedFor(now, q.Self.Zone)
+		a.Elsewhere, _ = f.elsewhere.body(now, q.Self.Zone)
 	}
 	return true
 }
--- a/internal/control/feed/elsewhere.go
+++ b/internal/control/feed/elsewhere.go
@@ -44,29 +44,33 @@
 	f.elsewhere = elsewhere{source: e}
 }
 
-// encodedFor returns what a balancer of a zone is told, nothing where others hear nothing.
-func (e *elsewhere) encodedFor(now time.Time, zone string) (cbor.RawMessage, error) {
+// body returns what a balancer of a zone is told, nothing where others hear nothing.
+func (e *elsewhere) body(now time.Time, zone string) (cbor.RawMessage, error) {
 	if e.source == nil {
 		return nil, nil
 	}
 	if e.bodies == nil || now.Sub(e.at) >= elsewhereFor {
 		e.at, e.all, e.bodies = now, e.source.Live(now), map[string]cbor.RawMessage{}
 	}
-	told := e.all
-	if len(told) <= elsewhereMost {
+	all := len(e.all) <= elsewhereMost
+	if all {
 		zone = ""
-	} else {
+	}
+	if body, encoded := e.bodies[zone]; encoded {
+		return body, nil
+	}
+	told := e.all
+	if !all {
 		told = lo.Filter(told, func(n directory.Notice, _ int) bool { return n.Upstream.Zone == zone })
 	}
 	if len(told) == 0 {
+		e.bodies[zone] = nil
 		return nil, nil
 	}
-	if e.bodies[zone] == nil {
-		body, err := cbor.Marshal(told)
-		if err != nil {
-			return nil, err
-		}
-		e.bodies[zone] = body
+	body, err := cbor.Marshal(told)
+	if err != nil {
+		return nil, err
 	}
-	return e.bodies[zone], nil
+	e.bodies[zone] = body
+	return body, nil
 }
--- a/internal/fanout/relay/relay.go
+++ b/internal/fanout/relay/relay.go
@@ -168,24 +168,29 @@
 }
 
 // NewNotices lets followers know of upstreams that changed.
-func (r *Relay) NewNotices() { r.wakeWithin(gatherNotices) }
+func (r *Relay) NewNotices() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.wakeAt(r.woken.Add(gatherNotices))
+}
 
 // NewDoubts lets them know of other doubts.
-func (r *Relay) NewDoubts() { r.wakeWithin(gatherDoubts) }
+func (r *Relay) NewDoubts() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.wakeAt(r.clock().Add(gatherDoubts))
+}
 
 // Wake lets them know at once.
-func (r *Relay) Wake() { r.wakeWithin(0) }
-
-// wakeWithin wakes the followers so long after the last time, or earlier if that is due
-// anyway.
-func (r *Relay) wakeWithin(pause time.Duration) {
+func (r *Relay) Wake() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.wake(r.clock())
+}
+
+// wakeAt wakes the followers at a time, or earlier if that is due anyway; the lock is held.
+func (r *Relay) wakeAt(at time.Time) {
 	now := r.clock()
-	at := r.woken.Add(pause)
-	if pause == gatherDoubts {
-		at = now.Add(pause)
-	}
 	if !at.After(now) {
 		r.wake(now)
 		return
