--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -18,6 +18,7 @@
 	Machine   machineCommand   `cmd:"" help:"Run a process on a VM of the platform."`
 	Apply     applyCommand     `cmd:"" help:"Replace services and presets as a whole."`
 	Preset    presetCommand    `cmd:"" help:"Switch or list presets."`
+	Zone      zoneCommand      `cmd:"" help:"Evacuate, restore or list availability zones."`
 	Status    statusCommand    `cmd:"" help:"Show voters and balancers."`
 	Audit     auditCommand     `cmd:"" help:"Print the trail of changes."`
 	Drain     drainCommand     `cmd:"" help:"Begin a balancer's planned stop."`
--- a/internal/control/feed/answer.go
+++ b/internal/control/feed/answer.go
@@ -135,6 +135,10 @@
 	if q.From != "" {
 		f.asked[q.From] = asked{at: now, passing: q.Passing}
 	}
+	if f.evacuations.Revision > q.Evacuations {
+		e := f.evacuations
+		a.Evacuations = &e
+	}
 	if q.Unconfigured {
 		a.Configuration = f.smallConfiguration()
 	}
@@ -142,6 +146,6 @@
 		a.Notices = f.noticesSince(now, version, q.Recalled)
 	}
 	// What is still being gathered goes along with other news, and alone later.
-	news := q.Life != f.life || a.Revision > q.Revision || a.Version > version && !f.pending || a.DoubtsVersion != q.Doubts
+	news := q.Life != f.life || a.Revision > q.Revision || a.Evacuations != nil || a.Version > version && !f.pending || a.DoubtsVersion != q.Doubts
 	return a, news, f.changed
 }
--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -12,6 +12,7 @@
 	"wasabideal/internal/fanout/member"
 	"wasabideal/internal/fanout/members"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/silence/accrual"
 	"wasabideal/internal/silence/word"
@@ -78,6 +79,8 @@
 	// Passing is how many balancers pass on what it hears, to those of its zone that are
 	// told last.
 	Passing int
+	// Evacuations is the revision of the orders for availability zones that it holds.
+	Evacuations uint64
 }
 
 // Answer brings a balancer up to date.
@@ -106,18 +109,22 @@
 	// the list, and FleetVersion rises with changes.
 	Fleet        []member.Member `cbor:",omitempty"`
 	FleetVersion uint64
+	// Evacuations are the orders for availability zones, where they are newer than held.
+	Evacuations *evacuation.Evacuations `cbor:",omitempty"`
 }
 
 // Feed is what one voter tells balancers; it is safe for concurrent use.
 type Feed struct {
-	mu        sync.Mutex
-	life      uint64
-	clock     func() time.Time
-	history   history.History
-	services  map[string]bool
-	directory *directory.Directory
-	members   []string
-	changed   chan struct{}
+	mu      sync.Mutex
+	life    uint64
+	clock   func() time.Time
+	history history.History
+	// evacuations are the orders in force for availability zones.
+	evacuations evacuation.Evacuations
+	services    map[string]bool
+	directory   *directory.Directory
+	members     []string
+	changed     chan struct{}
 	// told is when balancers were last woken for upstreams, pending that they
 	// still have to be.
 	told    time.Time
@@ -182,6 +189,16 @@
 	}
 }
 
+// PublishEvacuations tells of orders for availability zones; older ones are ignored.
+func (f *Feed) PublishEvacuations(e evacuation.Evacuations) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e.Revision > f.evacuations.Revision {
+		f.evacuations = e
+		f.wake()
+	}
+}
+
 // Configured says that the configuration names a service, or that none is known yet.
 func (f *Feed) Configured(service string) bool {
 	f.mu.Lock()
--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -9,6 +9,7 @@
 
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/model/roster"
 )
 
@@ -18,7 +19,9 @@
 
 // Change is what an operator asks for.
 type Change struct {
-	ChangeKey      string
+	ChangeKey string
+	// ExpectRevision is that of the configuration, or of the zone's last order, that the
+	// change was made for.
 	ExpectRevision uint64
 	// UsePreset names the preset to put in force; or Apply is the whole configuration.
 	UsePreset string
@@ -26,8 +29,10 @@
 	// Publish is a whole configuration that carries its own revision: the
 	// highest one wins, whatever revision was expected.
 	Publish *configuration.Configuration `cbor:",omitempty"`
-	Who     string
-	When    time.Time
+	// Evacuate empties an availability zone or takes it back.
+	Evacuate *Evacuation `cbor:",omitempty"`
+	Who      string
+	When     time.Time
 }
 
 // Verdict is how a change ended.
@@ -87,6 +92,8 @@
 	Reason    string `json:",omitempty"`
 	Before    Summary
 	After     Summary
+	// Evacuate is set on orders for an availability zone; Revision is the zone's then.
+	Evacuate *Evacuation `json:",omitempty"`
 }
 
 // Summary is a configuration as the audit trail tells it.
@@ -125,7 +132,9 @@
 	order   []string
 	last    Change
 	roster  roster.Roster
-	summed  *Summary
+	// evacuations are the orders in force for availability zones.
+	evacuations evacuation.Evacuations
+	summed      *Summary
 }
 
 // New returns an empty ledger.
@@ -207,14 +216,17 @@
 	l.remember(c.ChangeKey, a)
 	return c, a, &Record{
 		When: c.When, Who: c.Who, ChangeKey: c.ChangeKey, Verdict: a.Verdict, Revision: a.Revision,
-		Reason: a.Reason, Before: before, After: l.summary(),
+		Reason: a.Reason, Before: before, After: l.summary(), Evacuate: c.Evacuate,
 	}
 }
 
 // decide executes a change under the rules that all voters share.
 func (l *Ledger) decide(c Change) Answer {
 	current := l.Current()
-	if c.Publish != nil {
+	switch {
+	case c.Evacuate != nil:
+		return l.evacuate(c)
+	case c.Publish != nil:
 		return l.publish(c)
 	}
 	if c.ExpectRevision != current.Revision {
@@ -312,19 +324,31 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode ledger: %w", err)
 	}
-	return b, nil
+	zones, err := cbor.Marshal(l.evacuations)
+	if err != nil {
+		return nil, fmt.Errorf("encode evacuations: %w", err)
+	}
+	return append(b, zones...), nil
 }
 
 // Restore replaces the ledger by a snapshot.
 func (l *Ledger) Restore(data []byte) error {
 	var i image
+	var zones evacuation.Evacuations
 	if len(data) > 0 {
-		if err := cbor.Unmarshal(data, &i); err != nil {
+		rest, err := cbor.UnmarshalFirst(data, &i)
+		if err != nil {
 			return fmt.Errorf("decode ledger: %w", err)
 		}
+		// A snapshot of an earlier version ends here.
+		if len(rest) > 0 {
+			if err := cbor.Unmarshal(rest, &zones); err != nil {
+				return fmt.Errorf("decode evacuations: %w", err)
+			}
+		}
 	}
 	*l = *New()
-	l.current, l.last, l.roster = i.Current, i.Last, i.Roster
+	l.current, l.last, l.roster, l.evacuations = i.Current, i.Last, i.Roster, zones
 	for _, k := range i.Answers {
 		l.remember(k.Key, k.Answer)
 	}
--- a/internal/control/voter/effects.go
+++ b/internal/control/voter/effects.go
@@ -2,6 +2,7 @@
 
 import (
 	"wasabideal/internal/control/agreement"
+	"wasabideal/internal/control/ledger"
 )
 
 // carryOut does what the reducer asked for, in its order: nothing that follows
@@ -53,11 +54,11 @@
 	if e.Kind != agreement.Command {
 		return
 	}
-	_, answer, record := v.ledger.Apply(e.Data)
+	change, answer, record := v.ledger.Apply(e.Data)
 	v.publish()
 	v.counts.applied.Inc(1)
 	if !v.replaying {
-		v.log.Info("change applied", "Index", e.Index, "Verdict", answer.Verdict, "Revision", answer.Revision)
+		v.logApplied(e.Index, change, answer)
 	}
 	if record != nil {
 		v.trail.Write(e.Index, *record)
@@ -68,6 +69,15 @@
 	}
 }
 
+func (v *Voter) logApplied(index uint64, c ledger.Change, a ledger.Answer) {
+	if x := c.Evacuate; x != nil {
+		v.log.Info("evacuation applied", "Index", index, "Zone", x.Zone, "On", x.On, "Verdict", a.Verdict, "Expected", c.ExpectRevision,
+			"Held", a.Revision, "Who", c.Who)
+		return
+	}
+	v.log.Info("change applied", "Index", index, "Verdict", a.Verdict, "Revision", a.Revision)
+}
+
 func (v *Voter) restore(s agreement.Snapshot) {
 	if err := v.ledger.Restore(s.Data); err != nil {
 		v.log.Error("snapshot of the leader cannot be read", "Error", err)
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -18,6 +18,7 @@
 	"wasabideal/internal/control/keeper"
 	"wasabideal/internal/control/ledger"
 	"wasabideal/internal/disk/wal"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -33,6 +34,7 @@
 	HelloMethod   = "Roster.Hello"
 	PublishMethod = "Voter.Publish"
 	ReadMethod    = "Voter.Read"
+	ZonesMethod   = "Operator.Zones"
 )
 
 // Settings of a control process.
@@ -54,6 +56,9 @@
 	// Changed is told of each configuration that comes in force, with how it came
 	// about, if set.
 	Changed func(history.History)
+	// Evacuated is told of the orders for availability zones that come in force, before
+	// Changed is told of a configuration that came later, if set.
+	Evacuated func(evacuation.Evacuations)
 }
 
 // UnknownError says that a change may or may not have been accepted.
@@ -157,6 +162,9 @@
 	if v.replaying {
 		return
 	}
+	if v.settings.Evacuated != nil {
+		v.settings.Evacuated(v.ledger.Evacuations())
+	}
 	v.source.Publish(v.ledger.Current())
 	if v.settings.Changed != nil && v.ledger.Current().Revision > 0 {
 		v.settings.Changed(v.source.History())
@@ -187,6 +195,7 @@
 	rpc.Handle(r, HelloMethod, group, v.hello)
 	rpc.Handle(r, PublishMethod, group, v.publishHere)
 	rpc.Handle(r, ReadMethod, group, v.readHere)
+	rpc.Handle(r, ZonesMethod, operator, v.evacuationsCall)
 }
 
 // Run ticks until the context ends.
--- a/internal/control/voter/voter_test.go
+++ b/internal/control/voter/voter_test.go
@@ -148,3 +148,51 @@
 		newVoter(t, disk, func(h history.History) { told = append(told, h.Current().Revision) })
 	}
 }
+
+func evacuated(v *voter.Voter) []string { return v.Evacuations().Names() }
+
+// Symptom: after a loss of power everywhere upstreams of a zone that operators had emptied
+// got flows again.
+// Events: a zone is evacuated; the voter restarts from its disk, with its log and later with
+// a snapshot.
+// Cause: none yet; orders for zones were not kept.
+func TestEvacuationSurvivesARestart(t *testing.T) {
+	disk := &guarded{Folder: fault.New(1)}
+	v, run := newVoter(t, disk, nil)
+	stop := run()
+	order := func(v *voter.Voter, zone string, on bool) {
+		eventually(t, func() bool {
+			a, err := v.Evacuate(t.Context(), zone, on, "test")
+			return err == nil && a.Err() == nil
+		})
+	}
+	order(v, "a", true)
+	order(v, "b", true)
+	stop()
+	v, run = newVoter(t, disk, nil)
+	stop = run()
+	eventually(t, func() bool { return len(evacuated(v)) == 2 })
+	for revision := uint64(1); revision <= 80; revision++ {
+		require.NoError(t, publish(v, revision))
+	}
+	order(v, "a", false)
+	stop()
+	v, run = newVoter(t, disk, nil)
+	t.Cleanup(run())
+	eventually(t, func() bool { return len(evacuated(v)) == 1 && evacuated(v)[0] == "b" })
+}
+
+// Symptom: a zone that operators had taken back was evacuated again.
+// Events: an order arrives at a voter that stands still; its caller gives up and goes on
+// elsewhere; the voter goes on.
+// Cause: the voter proposed what nobody waited for any more.
+func TestOrderWhoseCallerGaveUpIsNotProposed(t *testing.T) {
+	v := alone(t, &guarded{Folder: fault.New(1)})
+	eventually(t, func() bool { return publish(v, 1) == nil })
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(5*time.Millisecond, cancel)
+	_, err := v.Evacuate(ctx, "a", true, "test")
+	var abandoned *voter.AbandonedError
+	require.ErrorAs(t, err, &abandoned)
+	require.Empty(t, evacuated(v))
+}
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -17,6 +17,7 @@
 	"wasabideal/internal/fanout/tree"
 	"wasabideal/internal/fanout/turn"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/silence/word"
 	"wasabideal/internal/wire/pool"
 )
@@ -49,6 +50,11 @@
 	Offered(address string, c configuration.Configuration)
 	// Answered takes what a voter said.
 	Answered(now time.Time, x origins.Origin)
+	// Evacuations returns the orders for availability zones in force, and Evacuated takes
+	// those that the voter or balancer at an address holds. They are offered before all else
+	// in the same answer, so that no flow is placed by it without them.
+	Evacuations() evacuation.Evacuations
+	Evacuated(address string, e evacuation.Evacuations)
 }
 
 // Settings of a follower.
--- a/internal/cookie/follower/follower_test.go
+++ b/internal/cookie/follower/follower_test.go
@@ -19,6 +19,7 @@
 	"wasabideal/internal/fanout/origins"
 	"wasabideal/internal/fanout/tree"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/standin/server"
 	"wasabideal/internal/upstream/directory"
@@ -86,6 +87,19 @@
 	notices map[string]int
 	// informed is set with the first upstream, where notes is.
 	informed, notes bool
+	evacuations     evacuation.Evacuations
+}
+
+func (l *listener) Evacuations() evacuation.Evacuations {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.evacuations
+}
+
+func (l *listener) Evacuated(_ string, e evacuation.Evacuations) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evacuations = e
 }
 
 func (l *listener) Held() configuration.Configuration {
@@ -288,3 +302,15 @@
 	require.LessOrEqual(t, begun, 2)
 	require.Equal(t, 1, f.Level())
 }
+
+func TestOrdersForZonesAreHeardAtOnce(t *testing.T) {
+	v := startVoter(t, 1)
+	l := follow(t, v.address)
+	eventually(t, func() bool {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return v.begun > 0
+	})
+	v.feed.PublishEvacuations(evacuation.Evacuations{}.With(evacuation.Zone{Name: "a", Evacuated: true}))
+	eventually(t, func() bool { return l.Evacuations().Evacuated("a") })
+}
--- a/internal/cookie/follower/parent.go
+++ b/internal/cookie/follower/parent.go
@@ -68,6 +68,10 @@
 	// All the way there and back is added to the ages: they are never too small.
 	way := max(now.Sub(sent)-a.Held, 0)
 	news, fresh := a.Revision > q.Revision, 0
+	if a.Evacuations != nil {
+		f.listener.Evacuated(address, *a.Evacuations)
+		news = true
+	}
 	for _, x := range a.Origins {
 		x.Age += way
 		if x.Age <= f.settings.StaleAfter {
@@ -90,10 +94,12 @@
 }
 
 func (f *Follower) parentQuestion(address string) relay.Question {
+	evacuations := f.listener.Evacuations().Revision
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return relay.Question{
-		From: f.settings.Self.Address, Hold: parentHold, Revision: f.fetcher.revision(address),
+		Evacuations: evacuations,
+		From:        f.settings.Self.Address, Hold: parentHold, Revision: f.fetcher.revision(address),
 		Fleet: f.census.Of(address).Version, Known: f.origins.Known(f.settings.Clock()),
 	}
 }
--- a/internal/cookie/follower/voters.go
+++ b/internal/cookie/follower/voters.go
@@ -111,7 +111,7 @@
 
 // question returns what to ask a voter.
 func (f *Follower) question(address string, held configuration.Configuration) feed.Question {
-	informed := f.listener.Informed()
+	informed, evacuations := f.listener.Informed(), f.listener.Evacuations().Revision
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.origins.Of(f.settings.Clock(), address)
@@ -119,6 +119,7 @@
 		Hold: hold, Recalled: !informed, From: f.settings.From, Encoded: true,
 		Unconfigured: held.Revision == 0 && len(f.upward()) == 0,
 		Life:         known.Life, Version: known.Version, Doubts: known.Doubts, Revision: f.fetcher.revision(address),
+		Evacuations: evacuations,
 	}
 	if f.selection != nil {
 		self := f.settings.Self
@@ -143,6 +144,9 @@
 	if a, err = a.Decoded(); err != nil {
 		return err
 	}
+	if a.Evacuations != nil {
+		f.listener.Evacuated(address, *a.Evacuations)
+	}
 	if len(a.Configuration) > 0 {
 		f.offer(address, held, a.Configuration)
 	}
--- /dev/null
+++ b/internal/cookie/router/evacuate.go
@@ -0,0 +1,31 @@
+package router
+
+import (
+	"github.com/samber/lo"
+
+	"wasabideal/internal/model/evacuation"
+)
+
+// Evacuate puts orders for availability zones in force; older ones are ignored. Open flows
+// stay where they are, and so do copies of an opening that was placed before: their caller
+// makes the last one 0.6 s after the first, and a second upstream would draw the caller's
+// packets to a flow that is not open there.
+func (r *Router) Evacuate(e evacuation.Evacuations) {
+	if e.Revision <= r.evacuations.Revision {
+		return
+	}
+	r.evacuations = e
+	for service := range r.members {
+		r.refill(service)
+	}
+}
+
+// Evacuations returns the revision of the orders for availability zones in force.
+func (r *Router) Evacuations() uint64 { return r.evacuations.Revision }
+
+// allEvacuated says that a service has upstreams, and all of them are in zones that are to
+// get no new flows. Its new flows are refused at once: serving them there would break the
+// operator's order, and no wait brings another upstream.
+func (r *Router) allEvacuated(service string) bool {
+	return lo.SomeBy(r.members[service], func(t *target) bool { return t.takesFlows() && r.evacuations.Evacuated(t.Zone) })
+}
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -75,12 +75,14 @@
 	Overloaded
 	// Unresponsive upstreams leave the packets of all balancers unanswered.
 	Unresponsive
+	// Evacuated services have upstreams only in availability zones that are evacuated.
+	Evacuated
 	// Stray packets belong to no flow and ask for none.
 	Stray
 )
 
 var reasonNames = [...]string{
-	"Known", "Placed", "Repeated", "Unconfigured", "NoRoute", "NoUpstream", "UnknownCookie", "Ended", "Busy", "Waiting", "Overloaded", "Unresponsive", "Stray",
+	"Known", "Placed", "Repeated", "Unconfigured", "NoRoute", "NoUpstream", "UnknownCookie", "Ended", "Busy", "Waiting", "Overloaded", "Unresponsive", "Evacuated", "Stray",
 }
 
 // Early says that a packet that is dropped for the reason may be placed soon,
--- a/internal/cookie/router/place.go
+++ b/internal/cookie/router/place.go
@@ -42,6 +42,9 @@
 		return v
 	}
 	t := r.choose(now, service, route.Class)
+	if t == nil && r.allEvacuated(service) {
+		return Verdict{Action: Reset, Reason: Evacuated, Revision: r.revision}
+	}
 	if t == nil && !settled {
 		return Verdict{Action: Drop, Reason: NoUpstream, Revision: r.revision}
 	}
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -6,6 +6,7 @@
 
 	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/silence/word"
 	"wasabideal/internal/upstream/view"
 )
@@ -57,6 +58,8 @@
 	mayReport int
 	// turn moves on with each choice, so that equal upstreams take turns.
 	turn int
+	// evacuations are the orders in force for availability zones.
+	evacuations evacuation.Evacuations
 }
 
 // route is a route with what each opening needs of it.
--- a/internal/cookie/router/upstreams.go
+++ b/internal/cookie/router/upstreams.go
@@ -111,7 +111,7 @@
 	p.own, p.others = p.own[:0], p.others[:0]
 	for _, t := range r.members[service] {
 		switch {
-		case !t.takesFlows():
+		case !t.takesFlows() || r.evacuations.Evacuated(t.Zone):
 		case t.Zone == r.settings.Zone || r.settings.Off.Has(mechanism.OwnZone):
 			p.own = append(p.own, t)
 		default:
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -172,6 +172,7 @@
 		},
 		Reopen:     func() (*wal.Wal, agreement.Durable, error) { return wal.Open(c.folder) },
 		Changed:    c.feed.Publish,
+		Evacuated:  c.feed.PublishEvacuations,
 		GroupToken: s.GroupToken, OperatorToken: s.OperatorToken, CompactAfter: s.CompactAfter,
 		Keeper: s.Keeper, Tick: s.Tick, AcceptTimeout: s.AcceptTimeout, Clock: s.Clock,
 	}
--- a/internal/daemon/control/others.go
+++ b/internal/daemon/control/others.go
@@ -10,6 +10,7 @@
 	"wasabideal/internal/cookie/follower"
 	"wasabideal/internal/fanout/origins"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/upstream/view"
 )
@@ -40,6 +41,14 @@
 // Offered ignores a configuration.
 func (o *others) Offered(string, configuration.Configuration) {}
 
+// Evacuations names orders that none are newer than: voters agree on them, too.
+func (o *others) Evacuations() evacuation.Evacuations {
+	return evacuation.Evacuations{Revision: math.MaxUint64}
+}
+
+// Evacuated ignores orders for availability zones.
+func (o *others) Evacuated(string, evacuation.Evacuations) {}
+
 // Answered takes a voter's news.
 func (o *others) Answered(now time.Time, x origins.Origin) {
 	o.mu.Lock()
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -17,6 +17,7 @@
 	"wasabideal/internal/fanout/origins"
 	"wasabideal/internal/fanout/tree"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/overload/uplink"
 	"wasabideal/internal/overload/waiting"
 	"wasabideal/internal/silence/doubts"
@@ -105,6 +106,8 @@
 	// uploads is nil where nothing is paced.
 	uploads *uploads
 	held    configuration.Configuration
+	// evacuations are the orders in force for availability zones.
+	evacuations evacuation.Evacuations
 	// outdated says that packets may be placed that could not be before.
 	outdated   bool
 	lastPacket time.Time
--- a/internal/daemon/cookie/cookie_test.go
+++ b/internal/daemon/cookie/cookie_test.go
@@ -325,6 +325,15 @@
 		require.Eventually(t, func() bool { return b.Held().Revision == 9 }, 20*time.Second, 10*time.Millisecond)
 	}
 
+	// So does an order for a zone, both ways.
+	for _, on := range []bool{true, false} {
+		_, err = c.Voter().Evacuate(t.Context(), "a", on, "test")
+		require.NoError(t, err)
+		for _, b := range all {
+			require.Eventually(t, func() bool { return b.Evacuations().Evacuated("a") == on }, 20*time.Second, 10*time.Millisecond)
+		}
+	}
+
 	// The one at the top ends.
 	top, _ := lo.Find(all, func(b *cookie.Balancer) bool { return b.Standing().Parent == "" })
 	rest := lo.Without(all, top)
--- /dev/null
+++ b/internal/daemon/cookie/evacuate.go
@@ -0,0 +1,27 @@
+package cookie
+
+import (
+	"wasabideal/internal/model/evacuation"
+)
+
+// Evacuations returns the orders for availability zones in force.
+func (b *Balancer) Evacuations() evacuation.Evacuations {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.evacuations
+}
+
+// Evacuated puts orders for availability zones in force if they are newer.
+func (b *Balancer) Evacuated(address string, e evacuation.Evacuations) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e.Revision <= b.evacuations.Revision {
+		return
+	}
+	b.evacuations = e
+	b.router.Evacuate(e)
+	b.log.Info("zones evacuated", "Revision", e.Revision, "From", address, "Zones", e.Names())
+	if b.fanout != nil {
+		b.fanout.relay.Wake()
+	}
+}
--- a/internal/daemon/cookie/fanout.go
+++ b/internal/daemon/cookie/fanout.go
@@ -151,6 +151,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a.Revision = b.held.Revision
+	if b.evacuations.Revision > q.Evacuations {
+		e := b.evacuations
+		a.Evacuations, news = &e, true
+	}
 	for i := range a.Origins {
 		x := &a.Origins[i]
 		version := uint64(0)
--- a/internal/fanout/relay/relay.go
+++ b/internal/fanout/relay/relay.go
@@ -8,6 +8,7 @@
 
 	"wasabideal/internal/fanout/member"
 	"wasabideal/internal/fanout/origins"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -38,6 +39,8 @@
 	Fleet uint64
 	// Known is how far it has heard the voters.
 	Known []origins.Known
+	// Evacuations is the revision of the orders for availability zones that it holds.
+	Evacuations uint64
 }
 
 // Answer brings a balancer up to date.
@@ -54,6 +57,8 @@
 	// Held is how long the question waited here: the rest of the time until the answer
 	// arrived adds to the age of what it says.
 	Held time.Duration
+	// Evacuations are the orders for availability zones, where they are newer than held.
+	Evacuations *evacuation.Evacuations `cbor:",omitempty"`
 }
 
 // FullError says that enough balancers follow this one.
--- a/internal/log/story/causes.go
+++ b/internal/log/story/causes.go
@@ -39,6 +39,8 @@
 		return "kept for a moment: the VM's link had as many uploads as it carries"
 	case router.Overloaded.String():
 		return "reset: the service answered later than the route's objective; the caller may come back"
+	case router.Evacuated.String():
+		return "reset: all upstreams of the service are in availability zones that operators evacuated"
 	case router.Unresponsive.String():
 		return "reset: balancers together found the flow's upstream silent; the caller may ask again"
 	case router.Ended.String():
--- a/internal/log/story/line.go
+++ b/internal/log/story/line.go
@@ -32,6 +32,7 @@
 	messageDiskWorks    = "disk works again"
 	messageDropped      = "log lines dropped"
 	messageFollows      = "follows"
+	messageEvacuated    = "zones evacuated"
 )
 
 // wireLine is a log line as the processes write it.
--- a/internal/log/story/story.go
+++ b/internal/log/story/story.go
@@ -84,7 +84,7 @@
 	case q.Incarnation != "":
 		return l.Incarnation == q.Incarnation && l.Message != messageFlow
 	default:
-		return l.Revision == q.Revision && l.Message != messageFlow && l.Message != messageReadiness
+		return l.Revision == q.Revision && l.Message != messageFlow && l.Message != messageReadiness && l.Message != messageEvacuated
 	}
 }
 
@@ -123,7 +123,7 @@
 	messageStart: true, messageLeaving: true, messageStopped: true, messageReadiness: true, messageLost: true,
 	messageRegained: true, messageReadOnly: true, messageDiskWorks: true, messageDropped: true,
 	messageNotAccepted: true, messageRefused: true, messageStanding: true,
-	messageFollows: true,
+	messageFollows: true, messageEvacuated: true,
 }
 
 // heldBefore returns the line of each process on the configuration that it held.
--- /dev/null
+++ b/internal/model/evacuation/evacuation_test.go
@@ -0,0 +1,38 @@
+package evacuation_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/model/evacuation"
+)
+
+func TestOrdersAreKeptByZone(t *testing.T) {
+	var e evacuation.Evacuations
+	first := e.With(evacuation.Zone{Name: "b", Evacuated: true})
+	second := first.With(evacuation.Zone{Name: "a", Evacuated: true})
+	third := second.With(evacuation.Zone{Name: "b"})
+	require.Zero(t, e.Revision, "immutable")
+	require.Equal(t, []string{"b"}, first.Names())
+	require.Equal(t, []string{"a", "b"}, second.Names())
+	require.Equal(t, []string{"a"}, third.Names())
+	require.Equal(t, uint64(3), third.Of("b").Revision, "a zone that was restored keeps the revision of that")
+	require.False(t, third.Evacuated("c"))
+}
+
+func TestNamesThatCannotBeKept(t *testing.T) {
+	var e evacuation.Evacuations
+	for _, name := range []string{"", strings.Repeat("x", 64), "a\nb", "a\x00"} {
+		var invalid *evacuation.InvalidError
+		require.ErrorAs(t, e.Check(name), &invalid)
+	}
+	for i := range 64 {
+		require.NoError(t, e.Check(fmt.Sprint("zone-", i)))
+		e = e.With(evacuation.Zone{Name: fmt.Sprint("zone-", i), Evacuated: true})
+	}
+	require.Error(t, e.Check("one-more"))
+	require.NoError(t, e.Check("zone-3"), "a zone that is known may always be ordered again")
+}
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -11,6 +11,7 @@
 	"wasabideal/internal/control/ledger"
 	"wasabideal/internal/control/voter"
 	"wasabideal/internal/daemon/balancer"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -96,6 +97,28 @@
 	return shown, last
 }
 
+// Evacuations returns the newest orders for availability zones that any voter knows.
+func (c *Client) Evacuations(ctx context.Context) (evacuation.Evacuations, error) {
+	var newest evacuation.Evacuations
+	var last error
+	answered := false
+	for _, address := range c.addresses {
+		e, err := call[empty, evacuation.Evacuations](ctx, address, c.token, voter.ZonesMethod, empty{})
+		if err != nil {
+			last = err
+			continue
+		}
+		answered = true
+		if e.Revision > newest.Revision {
+			newest = e
+		}
+	}
+	if answered {
+		last = nil
+	}
+	return newest, last
+}
+
 // Audit returns the longest trail that a voter has.
 func (c *Client) Audit(ctx context.Context, last int) ([]audit.Line, error) {
 	var lines []audit.Line
