--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -109,6 +109,8 @@
 	// the list, and FleetVersion rises with changes.
 	Fleet        []member.Member `cbor:",omitempty"`
 	FleetVersion uint64
+	// Balancers is how many balancers of all zones the voter knows.
+	Balancers int `cbor:",omitempty"`
 	// Evacuations are the orders for availability zones, where they are newer than held.
 	Evacuations *evacuation.Evacuations `cbor:",omitempty"`
 }
--- a/internal/control/feed/fleet.go
+++ b/internal/control/feed/fleet.go
@@ -50,6 +50,7 @@
 		return
 	}
 	f.fleet.Hear(now, members.Attendance{Member: *q.Self})
+	a.Balancers = f.fleet.Len()
 	a.FleetVersion = f.fleet.Version(q.Self.Zone)
 	if q.Life != f.life || q.Fleet != a.FleetVersion {
 		a.Fleet = f.fleet.Zone(q.Self.Zone)
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -107,7 +107,9 @@
 	end   context.CancelFunc
 	// answers says that it answered the last question.
 	answers bool
-	uplink  *uplink
+	// balancers is how many balancers of all zones it knows.
+	balancers int
+	uplink    *uplink
 }
 
 // New returns a follower that begins with Start.
@@ -342,6 +344,32 @@
 	}
 }
 
+// Balancers is how many balancers of all zones are known, 0 where that is not known.
+// Sources that restarted hear of the fleet again within some seconds: the one that knows
+// most counts.
+func (f *Follower) Balancers() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fleetSize()
+}
+
+func (f *Follower) fleetSize() int {
+	most := 0
+	for _, w := range f.watches {
+		most = max(most, w.balancers)
+	}
+	return most
+}
+
+// sized notes how many balancers a source knows.
+func (f *Follower) sized(address string, balancers int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.watches[address]; w != nil {
+		w.balancers = balancers
+	}
+}
+
 func hash(s string) uint64 { return xxhash.Sum64String(s) }
 
 // jitter returns a number between 0 and 1 that differs between balancers.
--- a/internal/cookie/follower/parent.go
+++ b/internal/cookie/follower/parent.go
@@ -82,6 +82,7 @@
 		}
 	}
 	f.fetcher.tell(address, a.Revision)
+	f.sized(address, a.Balancers)
 	if q.Fleet != a.FleetVersion || len(a.Fleet) > 0 {
 		f.takeFleet(address, census.List{Version: a.FleetVersion, Members: a.Fleet})
 		news = true
--- a/internal/cookie/follower/serving.go
+++ b/internal/cookie/follower/serving.go
@@ -15,7 +15,7 @@
 	defer f.mu.Unlock()
 	origins, news := f.origins.After(now, q.Known)
 	a := relay.Answer{
-		Origins: origins, FleetVersion: f.census.Version(),
+		Origins: origins, FleetVersion: f.census.Version(), Balancers: f.fleetSize(),
 		Voters: lo.Filter(lo.Keys(f.named), func(v string, _ int) bool { return now.Sub(f.named[v]) < forgetAfter }),
 	}
 	if q.Fleet != a.FleetVersion {
--- a/internal/cookie/follower/voters.go
+++ b/internal/cookie/follower/voters.go
@@ -156,6 +156,7 @@
 	})
 	f.fetcher.tell(address, a.Revision)
 	f.fleetOf(address, q, a)
+	f.sized(address, a.Balancers)
 	f.hearOf(a.Members)
 	return nil
 }
--- a/internal/cookie/mechanism/mechanism.go
+++ b/internal/cookie/mechanism/mechanism.go
@@ -35,11 +35,13 @@
 	UploadWait
 	// Pacing limits and paces uploads on a narrow link.
 	Pacing
+	// Concurrency refuses new flows beyond a balancer's share of what upstreams work on.
+	Concurrency
 )
 
 var names = [...]string{
 	"Admission", "Slowness", "OwnZone", "Suspicion", "ColdShare", "Settling", "SharedSilence",
-	"KeptPackets", "RoomAfterStart", "UploadWait", "Pacing",
+	"KeptPackets", "RoomAfterStart", "UploadWait", "Pacing", "Concurrency",
 }
 
 // String returns the mechanism's name as it stands in settings.
--- a/internal/cookie/router/choose.go
+++ b/internal/cookie/router/choose.go
@@ -80,7 +80,11 @@
 
 // pool is the upstreams that take new flows of a service, of the balancer's own zone and of
 // others.
-type pool struct{ own, others []*target }
+type pool struct {
+	own, others []*target
+	// slots is how many requests all of them work on at once.
+	slots int
+}
 
 // candidate is an upstream with what a new flow there would cost.
 type candidate struct {
--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -31,6 +31,8 @@
 	// sent is when the opening or the request under way was first sent.
 	sent    time.Time
 	working bool
+	// overdue says that the answer is late, and the upstream takes no room for it.
+	overdue bool
 	// repeated says that the opening or the request had to be sent again, reported
 	// that voters were told.
 	repeated, reported bool
@@ -47,6 +49,7 @@
 	r.remember(k, flow{target: t, seen: now, sent: now, opening: true})
 	t.count(1, 0)
 	t.sentOne()
+	t.service.wait(r.flows[k])
 }
 
 // remember keeps a flow, in the place of one that ended where there is one: openings make
@@ -72,6 +75,7 @@
 	if f.working {
 		f.target.count(0, -1)
 	}
+	f.setOverdue(false)
 	f.target.flows--
 }
 
@@ -126,6 +130,7 @@
 		r.losses.repeated++
 		f.repeated = false
 	}
+	f.setOverdue(false)
 	r.sawLife(now, f.target)
 }
 
@@ -139,8 +144,10 @@
 		if !f.working {
 			f.working, f.sent, f.beside = true, now, t.service.underWay
 			f.repeated, f.reported = false, false
+			f.setOverdue(false)
 			t.sentOne()
 			t.count(0, 1)
+			t.service.wait(f)
 		}
 		return
 	}
@@ -175,6 +182,10 @@
 		case f.working && now.Sub(f.sent) > workingFor:
 			f.working = false
 			f.target.count(0, -1)
+			f.setOverdue(false)
 		}
 	}
+	for _, s := range r.services {
+		s.age(now)
+	}
 }
--- a/internal/cookie/router/load_test.go
+++ b/internal/cookie/router/load_test.go
@@ -51,19 +51,35 @@
 	turned  int
 	// full counts requests that found a server's queue full.
 	full int
+	// work is what a request takes in the mean, objective when its answer is late.
+	work, objective time.Duration
+	// urgentWanted and urgentInTime count the requests of the better priority.
+	urgentWanted, urgentInTime int
 }
 
 // newSite has balancers whose routes have an objective, or none, and that were told
 // of the upstreams at a time.
 func newSite(t *testing.T, told time.Time, goal time.Duration, slow map[uint64]float64) *site {
-	s := &site{Time: virtual.Time{Now: epoch}, random: rand.New(rand.NewPCG(1, 2)), servers: map[uint64]*server{}}
+	return newSiteOf(t, told, goal, slow, balancers, upstreamsAll)
+}
+
+// turnsApart is by how much the first turns of balancers differ, as hashes of their addresses
+// do.
+const turnsApart = 7919
+
+// newSiteOf is newSite with so many balancers and upstreams.
+func newSiteOf(t *testing.T, told time.Time, goal time.Duration, slow map[uint64]float64, balancers int, upstreams uint64) *site {
+	s := &site{
+		Time: virtual.Time{Now: epoch}, random: rand.New(rand.NewPCG(1, 2)), servers: map[uint64]*server{}, work: work,
+		objective: objective,
+	}
 	var targets []view.Target
-	for id := uint64(1); id <= upstreamsAll; id++ {
+	for id := uint64(1); id <= upstreams; id++ {
 		targets = append(targets, target(id, "orders", "a"))
 		s.servers[id] = &server{slow: max(slow[id], 1)}
 	}
-	for range balancers {
-		r := router.New(router.Settings{Zone: "a"})
+	for i := range balancers {
+		r := router.New(router.Settings{Zone: "a", Seed: uint64(i) * turnsApart})
 		require.NoError(t, r.Configure(configuration.Configuration{Revision: 1, Routes: []configuration.Route{
 			{Name: "orders", Address: orders, Service: "orders", Objective: goal, Priority: 2},
 			{Name: "urgent", Address: notes, Service: "orders", Objective: goal, Priority: 1},
@@ -93,6 +109,9 @@
 		}
 		if s.Now.Sub(epoch) > warmUp {
 			s.wanted++
+			if c.address == notes {
+				s.urgentWanted++
+			}
 		}
 		s.try(c)
 		s.offer(perSecond)
@@ -138,7 +157,7 @@
 // arrive runs a request at a server, or refuses it where the queue is full.
 func (s *site) arrive(c *call, r *router.Router, p router.Packet, x *server) {
 	finish := func() {
-		took := time.Duration((0.5 + s.random.ExpFloat64()/2) * float64(work) * x.slow)
+		took := time.Duration((0.5 + s.random.ExpFloat64()/2) * float64(s.work) * x.slow)
 		s.After(took, func() {
 			x.busy--
 			if len(x.waiting) > 0 {
@@ -168,8 +187,11 @@
 	switch {
 	case !served:
 		s.try(c)
-	case s.Now.Sub(c.begun) <= objective && c.begun.Sub(epoch) > warmUp:
+	case s.Now.Sub(c.begun) <= s.objective && c.begun.Sub(epoch) > warmUp:
 		s.inTime++
+		if c.address == notes {
+			s.urgentInTime++
+		}
 	}
 }
 
@@ -321,3 +343,69 @@
 	require.Less(t, float64(s.turned), 0.03*float64(s.wanted))
 	require.Greater(t, with, 0.95)
 }
+
+// The fleet of the next replays: a zone of a large deployment, whose requests take long and
+// have much time.
+const (
+	fleetBalancers = 22
+	fleetUpstreams = 40
+	fleetWork      = 44 * time.Millisecond
+	fleetObjective = 500 * time.Millisecond
+)
+
+// playFleet plays such a load, with balancers that know of each other or not, and with some
+// upstreams that take requests and never answer.
+func playFleet(t *testing.T, load float64, known, hanging int) *site {
+	slow := map[uint64]float64{}
+	for id := range hanging {
+		slow[uint64(id+1)] = 1e6
+	}
+	s := newSiteOf(t, epoch.Add(-time.Minute), fleetObjective, slow, fleetBalancers, fleetUpstreams)
+	s.work, s.objective = fleetWork, fleetObjective
+	for _, r := range s.routers {
+		r.SetBalancers(known)
+	}
+	s.tick()
+	s.offer(load * fleetUpstreams * slotsEach / fleetWork.Seconds())
+	s.run(replay)
+	return s
+}
+
+// Symptom: in a burst of six times the load a third of all requests failed, and it went on
+// for six seconds after the burst. Upstreams refused 8,000 requests, callers' tries took more
+// of the links than requests that were served.
+// Events: callers ask a fleet for one and a half times what its upstreams work off; an answer
+// has 500 ms, the queue of an upstream is full after 200.
+// Cause: flows were refused when answers came near to be late. They never did: full upstreams
+// refused before, and each such refusal cost a whole request, and another two.
+func TestFlowsAreRefusedBeforeQueuesAreFull(t *testing.T) {
+	without := playFleet(t, 1.5, 0, 0)
+	with := playFleet(t, 1.5, fleetBalancers, 0)
+	t.Logf("full queues met %d, %d where balancers do not know of each other; urgent in time %d and %d of %d; all %d and %d of %d",
+		with.full, without.full, with.urgentInTime, without.urgentInTime, with.urgentWanted, with.inTime, without.inTime, with.wanted)
+	require.Less(t, with.full, without.full/10)
+	require.Greater(t, float64(with.urgentInTime), 0.95*float64(with.urgentWanted), "the urgent quarter is refused last")
+	require.Greater(t, with.urgentInTime, without.urgentInTime)
+	require.Greater(t, float64(with.inTime), 0.6*float64(with.wanted), "two thirds can be served")
+}
+
+func TestFleetUnderItsUsualLoadRefusesNobody(t *testing.T) {
+	for _, load := range []float64{0.3, 0.6, 0.85} {
+		s, without := playFleet(t, load, fleetBalancers, 0), playFleet(t, load, 0, 0)
+		share := float64(s.inTime) / float64(s.wanted)
+		sharesWithout := float64(without.inTime) / float64(without.wanted)
+		t.Logf("at %.2f of the capacity %.3f in time, %.3f without a limit, refused %d", load, share, sharesWithout, s.turned)
+		require.Less(t, float64(s.turned), 0.01*float64(s.wanted), "at %.2f", load)
+		require.Greater(t, share, sharesWithout-0.005, "at %.2f", load)
+	}
+}
+
+// Symptom: while a tenth of the upstreams hung, 8 % of the callers were refused, though all
+// others had room.
+// Events: four of 40 upstreams take requests and never answer.
+// Cause: requests there counted as under way until callers gave them up.
+func TestRequestsAtUpstreamsThatHangTakeNoRoom(t *testing.T) {
+	s := playFleet(t, 0.4, fleetBalancers, fleetUpstreams/10)
+	t.Logf("refused %d of %d", s.turned, s.wanted)
+	require.Less(t, float64(s.turned), 0.01*float64(s.wanted))
+}
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -111,4 +111,6 @@
 	// time that a request would have, and the requests that wait for an answer.
 	Predicted time.Duration
 	UnderWay  int
+	// Limit is how many may wait, where that is why.
+	Limit int
 }
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -44,9 +44,7 @@
 	spare    []*flow
 	zones    map[string]*zone
 	services map[string]*service
-	// urgent is the best priority among the routes to each service.
-	urgent map[string]int
-	swept  time.Time
+	swept    time.Time
 	// former are the earlier lives of upstreams that started again.
 	former []formerLife
 	// drawn is when the upstreams were first told.
@@ -58,6 +56,8 @@
 	mayReport int
 	// turn moves on with each choice, so that equal upstreams take turns.
 	turn int
+	// balancers is how many balancers share the upstreams, 0 where that is not known.
+	balancers int
 	// evacuations are the orders in force for availability zones.
 	evacuations evacuation.Evacuations
 }
@@ -76,7 +76,7 @@
 	return &Router{
 		settings: s, mayReport: reportsMost, turn: int(s.Seed % turns), routes: map[netip.AddrPort]route{}, targets: map[uint64]*target{},
 		cookies: map[uint32]*target{}, members: map[string][]*target{}, pools: map[string]*pool{}, flows: map[Flow]*flow{},
-		zones: map[string]*zone{}, services: map[string]*service{}, urgent: map[string]int{},
+		zones: map[string]*zone{}, services: map[string]*service{},
 	}
 }
 
@@ -92,14 +92,8 @@
 	}
 	r.revision = c.Revision
 	r.routes = make(map[netip.AddrPort]route, len(c.Routes))
-	r.urgent = map[string]int{}
 	for _, x := range c.Routes {
 		r.routes[x.Address] = route{Route: x, backends: x.Backends()}
-		for _, b := range x.Backends() {
-			if best, known := r.urgent[b.Service]; !known || x.Priority < best {
-				r.urgent[b.Service] = x.Priority
-			}
-		}
 	}
 	return nil
 }
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -7,7 +7,9 @@
 	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/overload/admission"
+	"wasabideal/internal/overload/concurrency"
 	"wasabideal/internal/overload/response"
+	"wasabideal/internal/overload/urgency"
 )
 
 // service is what the upstreams of one service have in common.
@@ -18,6 +20,14 @@
 	others, uploads admission.Admission
 	// underWay counts flows that are being opened and requests without an answer.
 	underWay int
+	// overdue counts those of them whose answer is late, waited lists all in the order in
+	// which they were sent.
+	overdue int
+	waited  []waited
+	// concurrency is how many were under way lately.
+	concurrency concurrency.Level
+	// urgency is which of the flows asked for are the most urgent.
+	urgency urgency.Urgency
 	// usual is the response time of the upstream in the middle, 0 where none is known.
 	usual time.Duration
 	// active are the upstreams that were sent something lately: only those are looked at
@@ -85,14 +95,19 @@
 // refuses returns the verdict on a new flow of a route that its service, under its
 // load, does not take.
 func (r *Router) refuses(now time.Time, name string, route configuration.Route, number uint64) (Verdict, bool) {
+	s := r.service(name)
+	s.urgency.Note(now, route.Priority)
+	urgent := s.urgency.Urgent(now, route.Priority)
+	if v, refused := r.crowded(now, name, s, route, urgent); refused {
+		return v, true
+	}
 	if r.settings.Off.Has(mechanism.Admission) {
 		return Verdict{}, false
 	}
-	s := r.service(name)
 	answers := s.admission(route.Class)
 	predicted := answers.ResponseTime(now, s.underWay)
 	d := admission.Demand{
-		Objective: route.Objective, Urgent: route.Priority == r.urgent[name], Number: number >> 32,
+		Objective: route.Objective, Urgent: urgent, Number: number >> 32,
 	}
 	if !answers.Overloaded(now, predicted, route.Objective) || d.Admitted(predicted) {
 		return Verdict{}, false
@@ -102,6 +117,26 @@
 	}, true
 }
 
+// crowded returns the verdict on a new flow where this balancer has its share of what the
+// service's upstreams may be given at once.
+func (r *Router) crowded(now time.Time, name string, s *service, route configuration.Route, urgent bool) (Verdict, bool) {
+	p := r.pools[name]
+	if p == nil || route.Class == configuration.Upload || r.settings.Off.Has(mechanism.Concurrency) {
+		return Verdict{}, false
+	}
+	share := concurrency.Share{Slots: p.slots, Balancers: r.balancers}
+	limit, known := share.Limit(urgent)
+	s.age(now)
+	underWay := s.underWay - s.overdue
+	if !s.concurrency.Exceeds(now, underWay, limit) || !known {
+		return Verdict{}, false
+	}
+	return Verdict{Action: Reset, Reason: Overloaded, Revision: r.revision, UnderWay: underWay, Limit: limit}, true
+}
+
+// SetBalancers tells how many balancers share the upstreams, 0 where that is not known.
+func (r *Router) SetBalancers(n int) { r.balancers = n }
+
 // answered notes how long a request to an upstream took. An upstream that is
 // slower than the others of its service says nothing of the room that those have.
 func (r *Router) answered(now time.Time, f *flow, class configuration.Class) {
--- a/internal/cookie/router/upstreams.go
+++ b/internal/cookie/router/upstreams.go
@@ -108,15 +108,17 @@
 		p = &pool{}
 		r.pools[service] = p
 	}
-	p.own, p.others = p.own[:0], p.others[:0]
+	p.own, p.others, p.slots = p.own[:0], p.others[:0], 0
 	for _, t := range r.members[service] {
 		switch {
 		case !t.takesFlows() || r.evacuations.Evacuated(t.Zone):
+			continue
 		case t.Zone == r.settings.Zone || r.settings.Off.Has(mechanism.OwnZone):
 			p.own = append(p.own, t)
 		default:
 			p.others = append(p.others, t)
 		}
+		p.slots += max(int(t.Slots), 1)
 	}
 }
 
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -252,6 +252,7 @@
 		case <-t.C:
 			b.mu.Lock()
 			now := b.settings.Clock()
+			b.router.SetBalancers(b.follower.Balancers())
 			b.router.Tick(now)
 			b.refresh(now)
 			b.placeKept(now, b.crowded)
--- a/internal/daemon/cookie/reports.go
+++ b/internal/daemon/cookie/reports.go
@@ -50,7 +50,7 @@
 		args = append(args, "Incarnation", fmt.Sprintf("%x", v.Incarnation), "Sequence", v.Sequence)
 	}
 	if v.Reason == router.Overloaded {
-		args = append(args, "Predicted", v.Predicted.String(), "UnderWay", v.UnderWay)
+		args = append(args, "Predicted", v.Predicted.String(), "UnderWay", v.UnderWay, "Limit", v.Limit)
 	}
 	if v.Action == router.Forward {
 		args = append(args, "To", v.To.String(), "Live", v.Live)
--- a/internal/fanout/members/members.go
+++ b/internal/fanout/members/members.go
@@ -74,6 +74,9 @@
 // Version rises with each change of a zone's members.
 func (m *Members) Version(zone string) uint64 { return m.versions[zone] }
 
+// Len returns the number of members of all zones.
+func (m *Members) Len() int { return len(m.byAddress) }
+
 // Zone returns the members of an availability zone in the order of their addresses.
 func (m *Members) Zone(zone string) []member.Member {
 	var out []member.Member
--- a/internal/fanout/relay/relay.go
+++ b/internal/fanout/relay/relay.go
@@ -57,6 +57,8 @@
 	// Held is how long the question waited here: the rest of the time until the answer
 	// arrived adds to the age of what it says.
 	Held time.Duration
+	// Balancers is how many balancers of all zones are known here.
+	Balancers int `cbor:",omitempty"`
 	// Evacuations are the orders for availability zones, where they are newer than held.
 	Evacuations *evacuation.Evacuations `cbor:",omitempty"`
 }
--- /dev/null
+++ b/internal/overload/concurrency/concurrency_test.go
@@ -0,0 +1,41 @@
+package concurrency_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/overload/concurrency"
+)
+
+func TestLimitIsAShareOfTheSlots(t *testing.T) {
+	for _, c := range []struct {
+		slots, balancers, ordinary, urgent int
+	}{{240, 70, 10, 27}, {28, 9, 9, 24}, {42000, 3200, 39, 105}, {6, 30, 6, 6}} {
+		s := concurrency.Share{Slots: c.slots, Balancers: c.balancers}
+		limit, known := s.Limit(false)
+		require.True(t, known)
+		require.Equal(t, c.ordinary, limit)
+		limit, _ = s.Limit(true)
+		require.Equal(t, c.urgent, limit)
+	}
+	_, known := concurrency.Share{Slots: 240}.Limit(true)
+	require.False(t, known, "balancers that do not know of each other have no share")
+}
+
+func TestLevelPassesShortPeaks(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var l concurrency.Level
+	require.False(t, l.Exceeds(now, 3, 10))
+	for range 10 {
+		now = now.Add(10 * time.Millisecond)
+		require.False(t, l.Exceeds(now, 14, 10), "0.1 s")
+	}
+	for range 30 {
+		now = now.Add(10 * time.Millisecond)
+		l.Exceeds(now, 14, 10)
+	}
+	require.True(t, l.Exceeds(now, 14, 10), "0.4 s")
+	require.False(t, l.Exceeds(now, 9, 10), "there is room now")
+}
--- /dev/null
+++ b/internal/overload/concurrency/doc.go
@@ -0,0 +1,3 @@
+// Package concurrency decides how many requests one balancer may have under way at the
+// upstreams of a service.
+package concurrency
