--- a/internal/model/configuration/configuration.go
+++ b/internal/model/configuration/configuration.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/samber/lo"
 )
@@ -36,6 +37,27 @@
 	Application string `json:",omitzero" cbor:",omitempty"`
 	// TLS says that the flows are encrypted between the two ends.
 	TLS bool `json:",omitzero" cbor:",omitempty"`
+	// Cold is what upstreams bear that have just started; nil where operators say nothing.
+	Cold *Cold `json:",omitzero" cbor:",omitempty"`
+}
+
+// Cold is what an upstream of a service bears just after its start.
+type Cold struct {
+	_ struct{} `cbor:",toarray"`
+	// For is how long an upstream stays cold; its announcements tell the rest of it.
+	For time.Duration
+	// PerSecond is how many requests it bears in any second then, from all balancers
+	// together; 0 sets no bound.
+	PerSecond float64
+}
+
+// ColdRate is how many requests a second a cold upstream of the service bears, 0 where
+// there is no bound.
+func (s Service) ColdRate() float64 {
+	if s.Cold == nil {
+		return 0
+	}
+	return s.Cold.PerSecond
 }
 
 // Preset is a named set of limits; exactly one is in force.
@@ -72,6 +94,15 @@
 	Routes []Route `json:",omitzero" cbor:",omitempty"`
 	// Limits bound what callers may send.
 	Limits Limits `json:",omitzero" cbor:",omitzero"`
+	// Extra are members of the operator's document that mean nothing here, encoded, by where
+	// they stand: an operator reads back what was sent. Only voters keep them.
+	Extra map[string][]byte `json:",omitzero" cbor:",omitempty"`
+}
+
+// WithoutExtra returns the configuration as balancers need it.
+func (c Configuration) WithoutExtra() Configuration {
+	c.Extra = nil
+	return c
 }
 
 // InvalidError says which key of a configuration is wrong and what is allowed.
@@ -188,6 +219,9 @@
 		if s.Protocol != TCP && s.Protocol != UDP {
 			return &InvalidError{Key: "Services." + s.Name + ".Protocol", Value: s.Protocol, Allowed: "tcp or udp"}
 		}
+		if c := s.Cold; c != nil && (c.For < 0 || c.PerSecond < 0) {
+			return &InvalidError{Key: "Services." + s.Name + ".Cold", Value: fmt.Sprintf("%s, %g", c.For, c.PerSecond), Allowed: "0 or more"}
+		}
 		for _, a := range s.Addresses {
 			id := s.Protocol + " " + a.String()
 			if !a.IsValid() || !a.Addr().Is4() || a.Port() == 0 {
