--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -344,6 +344,14 @@
 	}
 }
 
+// Peers returns the addresses of the balancers of this one's zone, itself among them once it
+// is known there.
+func (f *Follower) Peers() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.census.Addresses()
+}
+
 // Balancers is how many balancers of all zones are known, 0 where that is not known.
 // Sources that restarted hear of the fleet again within some seconds: the one that knows
 // most counts.
--- a/internal/cookie/router/choose.go
+++ b/internal/cookie/router/choose.go
@@ -148,7 +148,7 @@
 	for range most {
 		t := all[at]
 		c := candidate{target: t, rank: r.rank(now, t), cost: r.cost(now, t) + extra}
-		if c.before(best) {
+		if c.before(best) && r.bears(now, t) {
 			best = c
 		}
 		if at++; at == len(all) {
--- a/internal/cookie/router/overdue.go
+++ b/internal/cookie/router/overdue.go
@@ -27,15 +27,17 @@
 // age marks the flows as overdue that have waited for too long.
 func (s *service) age(now time.Time) {
 	late := max(overdueAfter, overdueTimes*s.usual)
-	n := 0
-	for n < len(s.waited) && now.Sub(s.waited[n].sent) >= late {
-		w := s.waited[n]
+	for s.aged < len(s.waited) && now.Sub(s.waited[s.aged].sent) >= late {
+		w := s.waited[s.aged]
 		if w.flow.target.service == s && w.flow.sent.Equal(w.sent) && (w.flow.opening || w.flow.working) {
 			w.flow.setOverdue(true)
 		}
-		n++
+		s.aged++
+	}
+	if 2*s.aged >= len(s.waited) {
+		s.waited = slices.Delete(s.waited, 0, s.aged)
+		s.aged = 0
 	}
-	s.waited = slices.Delete(s.waited, 0, n)
 }
 
 // setOverdue notes whether the answer that the flow waits for is late.
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -77,17 +77,21 @@
 	Unresponsive
 	// Evacuated services have upstreams only in availability zones that are evacuated.
 	Evacuated
+	// Cold services have upstreams only that have just started and bear no more.
+	Cold
 	// Stray packets belong to no flow and ask for none.
 	Stray
 )
 
 var reasonNames = [...]string{
-	"Known", "Placed", "Repeated", "Unconfigured", "NoRoute", "NoUpstream", "UnknownCookie", "Ended", "Busy", "Waiting", "Overloaded", "Unresponsive", "Evacuated", "Stray",
+	"Known", "Placed", "Repeated", "Unconfigured", "NoRoute", "NoUpstream", "UnknownCookie", "Ended", "Busy", "Waiting", "Overloaded", "Unresponsive", "Evacuated", "Cold", "Stray",
 }
 
 // Early says that a packet that is dropped for the reason may be placed soon,
 // when more is known here.
-func (r Reason) Early() bool { return r == Unconfigured || r == UnknownCookie || r == NoUpstream }
+func (r Reason) Early() bool {
+	return r == Unconfigured || r == UnknownCookie || r == NoUpstream || r == Cold
+}
 
 // String returns the reason's name as it stands in logs.
 func (r Reason) String() string { return reasonNames[r] }
--- a/internal/cookie/router/place.go
+++ b/internal/cookie/router/place.go
@@ -42,6 +42,9 @@
 		return v
 	}
 	t := r.choose(now, service, route.Class)
+	if t == nil && r.anyCold(now, service) {
+		return r.refuseCold(now, service)
+	}
 	if t == nil && r.allEvacuated(service) {
 		return Verdict{Action: Reset, Reason: Evacuated, Revision: r.revision}
 	}
@@ -55,6 +58,7 @@
 		// All others are, too: the caller would wait for its opening to be given up.
 		return r.reset(t, Unresponsive)
 	}
+	t.opened(now)
 	r.open(now, k, t)
 	return r.forward(t, Placed)
 }
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wasabideal/internal/cookie/mechanism"
+	"wasabideal/internal/fanout/assignment"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/silence/word"
@@ -15,6 +16,11 @@
 type Settings struct {
 	// Zone is the availability zone of this balancer.
 	Zone string
+	// Self names this balancer among those of its zone; see SetPeers. Without it no cold
+	// upstream is sent anything whose service says what it bears.
+	Self string
+	// Started is when the balancer started.
+	Started time.Time
 	// Seed differs between balancers: those that start together, and know nothing
 	// of each other's flows, would otherwise send their first ones to the same
 	// upstreams.
@@ -56,6 +62,8 @@
 	mayReport int
 	// turn moves on with each choice, so that equal upstreams take turns.
 	turn int
+	// assignment is which cold upstreams are this balancer's.
+	assignment *assignment.Assignment
 	// balancers is how many balancers share the upstreams, 0 where that is not known.
 	balancers int
 	// evacuations are the orders in force for availability zones.
@@ -74,7 +82,7 @@
 // New returns a router that drops everything until it is configured.
 func New(s Settings) *Router {
 	return &Router{
-		settings: s, mayReport: reportsMost, turn: int(s.Seed % turns), routes: map[netip.AddrPort]route{}, targets: map[uint64]*target{},
+		settings: s, assignment: assignment.New(s.Started, s.Self), mayReport: reportsMost, turn: int(s.Seed % turns), routes: map[netip.AddrPort]route{}, targets: map[uint64]*target{},
 		cookies: map[uint32]*target{}, members: map[string][]*target{}, pools: map[string]*pool{}, flows: map[Flow]*flow{},
 		zones: map[string]*zone{}, services: map[string]*service{},
 	}
@@ -92,6 +100,9 @@
 	}
 	r.revision = c.Revision
 	r.routes = make(map[netip.AddrPort]route, len(c.Routes))
+	for _, s := range c.Services {
+		r.service(s.Name).coldRate = s.ColdRate()
+	}
 	for _, x := range c.Routes {
 		r.routes[x.Address] = route{Route: x, backends: x.Backends()}
 	}
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -20,10 +20,13 @@
 	others, uploads admission.Admission
 	// underWay counts flows that are being opened and requests without an answer.
 	underWay int
+	// coldRate is how many requests a second a cold upstream bears, 0 without a bound.
+	coldRate float64
 	// overdue counts those of them whose answer is late, waited lists all in the order in
-	// which they were sent.
+	// which they were sent, of which the first aged ones were looked at.
 	overdue int
 	waited  []waited
+	aged    int
 	// concurrency is how many were under way lately.
 	concurrency concurrency.Level
 	// urgency is which of the flows asked for are the most urgent.
--- a/internal/cookie/router/silence.go
+++ b/internal/cookie/router/silence.go
@@ -104,6 +104,8 @@
 	// alive is the last sign of life of any of them.
 	alive time.Time
 	doubt *doubt
+	// restored is when the zone was taken back from its evacuation.
+	restored time.Time
 }
 
 func (r *Router) zone(name string) *zone {
--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -5,6 +5,7 @@
 
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/overload/response"
+	"wasabideal/internal/overload/slowstart"
 	"wasabideal/internal/upstream/view"
 )
 
@@ -37,6 +38,8 @@
 	response response.Response
 	zone     *zone
 	recent   recent
+	// cold is what the upstream got here while it was cold.
+	cold slowstart.Window
 	// active says that the service lists it as such.
 	active bool
 	// doubt is what voters say, nil where they say nothing.
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -101,6 +101,8 @@
 	unresponsive map[word.Subject]bool
 	// early are packets that could not be placed yet.
 	early *waiting.Waiting[earlyKey, earlyPacket]
+	// coldWaits says that some of them wait for an upstream to be warm.
+	coldWaits bool
 	// crowded are packets that could be, and wait for room at their upstream.
 	crowded *waiting.Waiting[earlyKey, earlyPacket]
 	// uploads is nil where nothing is paced.
@@ -137,11 +139,12 @@
 	if uplink.Narrow(s.LinkBytesPerSecond) && !s.Off.Has(mechanism.Pacing) {
 		b.uploads = newUploads(s.LinkBytesPerSecond)
 	}
+	self, err := b.follow()
 	b.router = router.New(router.Settings{
-		Zone: s.Zone, Seed: xxhash.Sum64String(s.Fabric), Off: s.Off, Suspected: b.suspected,
+		Zone: s.Zone, Self: self, Started: s.Clock(), Seed: xxhash.Sum64String(s.Fabric), Off: s.Off, Suspected: b.suspected,
 		Opened: b.counts.opened.Record, Answered: b.counts.answered.Record,
 	})
-	return b, b.follow()
+	return b, err
 }
 
 // Address returns where the balancer takes datagrams.
@@ -253,9 +256,14 @@
 			b.mu.Lock()
 			now := b.settings.Clock()
 			b.router.SetBalancers(b.follower.Balancers())
+			b.router.SetPeers(now, b.follower.Peers())
 			b.router.Tick(now)
 			b.refresh(now)
 			b.placeKept(now, b.crowded)
+			if b.coldWaits {
+				b.coldWaits = false
+				b.placeKept(now, b.early)
+			}
 			if b.doubts.Expired(now) {
 				b.doubt(now)
 			}
--- a/internal/daemon/cookie/evacuate.go
+++ b/internal/daemon/cookie/evacuate.go
@@ -19,7 +19,7 @@
 		return
 	}
 	b.evacuations = e
-	b.router.Evacuate(e)
+	b.router.Evacuate(b.settings.Clock(), e)
 	b.log.Info("zones evacuated", "Revision", e.Revision, "From", address, "Zones", e.Names())
 	if b.fanout != nil {
 		b.fanout.relay.Wake()
--- a/internal/daemon/cookie/packets.go
+++ b/internal/daemon/cookie/packets.go
@@ -60,6 +60,7 @@
 	v := b.decide(now, p, data)
 	if v.Action == router.Drop && v.Reason.Early() && !b.settings.Off.Has(mechanism.KeptPackets) {
 		b.keep(now, arrived, p, data)
+		b.coldWaits = b.coldWaits || v.Reason == router.Cold
 	}
 	b.perform(now, p, data, v)
 }
--- a/internal/log/story/causes.go
+++ b/internal/log/story/causes.go
@@ -41,6 +41,8 @@
 		return "reset: the service answered later than the route's objective; the caller may come back"
 	case router.Evacuated.String():
 		return "reset: all upstreams of the service are in availability zones that operators evacuated"
+	case router.Cold.String():
+		return "not placed: the upstreams of the service had just started and bore no further flow from this balancer"
 	case router.Unresponsive.String():
 		return "reset: balancers together found the flow's upstream silent; the caller may ask again"
 	case router.Ended.String():
--- a/internal/overload/concurrency/concurrency.go
+++ b/internal/overload/concurrency/concurrency.go
@@ -45,6 +45,9 @@
 	return max(int(perSlot*float64(s.Slots)/float64(s.Balancers)), leastEach), true
 }
 
+// shortAge is the part of levelFor below which the first terms of an exponential suffice.
+const shortAge = 0.1
+
 // Level is how many requests a balancer had under way lately; the zero value had none. One
 // goroutine owns it.
 type Level struct {
@@ -55,7 +58,11 @@
 // Exceeds notes how many are under way, and says whether they reach a limit now, and did so in
 // the mean of the last moments.
 func (l *Level) Exceeds(now time.Time, underWay, limit int) bool {
-	fresh := 1 - math.Exp(-now.Sub(l.at).Seconds()/levelFor.Seconds())
+	age := now.Sub(l.at).Seconds() / levelFor.Seconds()
+	fresh := age - age*age/2
+	if age > shortAge {
+		fresh = 1 - math.Exp(-age)
+	}
 	l.at = now
 	l.mean += fresh * (float64(underWay) - l.mean)
 	return underWay >= limit && l.mean >= float64(limit)
--- a/internal/overload/meter/meter.go
+++ b/internal/overload/meter/meter.go
@@ -27,8 +27,12 @@
 	return m.sum / m.constant.Seconds()
 }
 
+// fadeParts is the part of the time constant in which a rate may stay as it is: it is then
+// too large by 2 % at the most, and some hundred openings a second cost no exponential each.
+const fadeParts = 50
+
 func (m *Meter) fade(now time.Time) {
-	if elapsed := now.Sub(m.at); elapsed > 0 {
+	if elapsed := now.Sub(m.at); elapsed > m.constant/fadeParts {
 		m.sum *= math.Exp(-elapsed.Seconds() / m.constant.Seconds())
 		m.at = now
 	}
--- /dev/null
+++ b/internal/overload/slowstart/doc.go
@@ -0,0 +1,2 @@
+// Package slowstart bounds the flows that an upstream gets which has just started.
+package slowstart
--- /dev/null
+++ b/internal/overload/slowstart/slowstart_test.go
@@ -0,0 +1,38 @@
+package slowstart_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/overload/slowstart"
+)
+
+// In no span of a second, wherever it begins, does an upstream get more than its rate, and
+// two balancers together no more than one and a half times of it.
+func TestNoSecondHasMoreThanTheRate(t *testing.T) {
+	for _, rate := range []float64{2, 6, 12, 100} {
+		var w slowstart.Window
+		var taken []time.Time
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		for i := range 20_000 {
+			now = now.Add(time.Duration(i%7) * time.Millisecond / 2)
+			if w.Take(now, rate) {
+				taken = append(taken, now)
+			}
+		}
+		require.NotEmpty(t, taken)
+		for i := range taken {
+			in := 0
+			for _, at := range taken[i:] {
+				if at.Sub(taken[i]) <= time.Second {
+					in++
+				}
+			}
+			require.LessOrEqual(t, float64(in), rate)
+			require.LessOrEqual(t, 2*float64(in), 1.5*rate)
+		}
+		require.Greater(t, float64(len(taken)), 0.45*rate*now.Sub(taken[0]).Seconds(), "it is used, too")
+	}
+}
