--- a/internal/overload/concurrency/concurrency.go
+++ b/internal/overload/concurrency/concurrency.go
@@ -22,7 +22,7 @@
 	// levelFor is the time constant with which the number under way is followed. A
 	// balancer has few requests under way, and by chance twice as many for some
 	// milliseconds: at 0.85 of the capacity one flow in ten was refused for it.
-	levelFor = 200 * time.Millisecond
+	levelFor = 400 * time.Millisecond
 )
 
 // Share is what one of some balancers may use of a service.
