--- a/cmd/status.go
+++ b/cmd/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"text/tabwriter"
 
 	"wasabideal/internal/balancer/reducer"
@@ -73,10 +74,10 @@
 	for _, v := range r.Voters {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%v\t%s\n", v.Name, v.Role, v.Term, v.Revision, v.InForce, v.Current, v.Silence)
 	}
-	_, _ = fmt.Fprintln(w, "BALANCER\tZONE\tREVISION\tPRESET\tAGE\tFLOWS\tMEMBERS\tUPSTREAMS\tISOLATED")
+	_, _ = fmt.Fprintln(w, "BALANCER\tZONE\tREVISION\tPRESET\tAGE\tFLOWS\tMEMBERS\tUPSTREAMS\tISOLATED\tEVACUATED")
 	for _, b := range r.Balancers {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d\t%v\n", b.Name, b.Zone, b.Revision, b.InForce, b.RevisionAge,
-			b.Flows, len(b.Members), len(b.Upstreams), b.Isolated)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d\t%v\t%s\n", b.Name, b.Zone, b.Revision, b.InForce, b.RevisionAge,
+			b.Flows, len(b.Members), len(b.Upstreams), b.Isolated, strings.Join(b.Evacuated, ","))
 	}
 	return w.Flush()
 }
--- a/internal/balancer/reducer/reducer.go
+++ b/internal/balancer/reducer/reducer.go
@@ -12,6 +12,7 @@
 	"wasabideal/internal/member/busy"
 	"wasabideal/internal/member/swim"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/upstream/registry"
 	"wasabideal/internal/wire/gue"
@@ -74,19 +75,21 @@
 
 // Status is what a balancer says of itself to operators.
 type Status struct {
-	Name          string
-	Zone          string
-	Revision      uint64
-	InForce       string
-	RevisionAge   time.Duration
-	Isolated      bool
-	Leaving       bool
-	Drained       bool
-	Flows         int
-	Openings      int
-	Refused       uint64
-	Members       []swim.Member
-	Upstreams     []upstream.Upstream
+	Name        string
+	Zone        string
+	Revision    uint64
+	InForce     string
+	RevisionAge time.Duration
+	Isolated    bool
+	Leaving     bool
+	Drained     bool
+	Flows       int
+	Openings    int
+	Refused     uint64
+	Members     []swim.Member
+	Upstreams   []upstream.Upstream
+	// Evacuated are the availability zones that take no new flows.
+	Evacuated     []string
 	Router        router.Counters
 	Swim          swim.Counters
 	Configuration configuration.Configuration `json:"-"`
@@ -100,7 +103,7 @@
 		Revision: c.Revision, InForce: c.InForce, RevisionAge: r.follower.Age(now),
 		Isolated: r.swim.Isolated(), Leaving: !r.leavingSince.IsZero(), Drained: r.drained,
 		Flows: r.router.Flows(), Openings: r.router.Openings(), Refused: r.refused,
-		Members: r.swim.All(), Upstreams: r.registry.All(),
+		Members: r.swim.All(), Upstreams: r.registry.All(), Evacuated: r.registry.Evacuations().Names(),
 		Router: r.router.Counters, Swim: r.swim.Counters, Configuration: c,
 	}
 }
@@ -118,6 +121,9 @@
 // Share returns the part of a warm upstream's load that the address should get.
 func (r *Reducer) Share(now time.Time, a netip.AddrPort) float64 { return r.registry.Share(now, a) }
 
+// Evacuations returns the orders for availability zones in force here.
+func (r *Reducer) Evacuations() evacuation.Evacuations { return r.registry.Evacuations() }
+
 // Configuration returns the configuration in force here.
 func (r *Reducer) Configuration() configuration.Configuration { return r.follower.Current() }
 
@@ -139,6 +145,8 @@
 		err = r.registry.Announce(now, *e.Upstream, e.TokenSha256)
 	case event.Offered:
 		r.offer(now, *e.Configuration)
+	case event.Evacuated:
+		r.registry.SetEvacuations(*e.Evacuations)
 	case event.StopPlanned:
 		r.leave(now)
 	case event.Stopped:
--- a/internal/configuration/history/history.go
+++ b/internal/configuration/history/history.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/model/roster"
 )
 
@@ -37,6 +38,8 @@
 	Revision uint64
 	// Current says that the answering process knows it to be the newest accepted.
 	Current bool
+	// Evacuations is set where it is newer than what the follower holds.
+	Evacuations *evacuation.Evacuations `cbor:",omitempty"`
 	// Roster is set where it is newer than the one that the follower holds.
 	Roster *roster.Roster
 }
--- a/internal/configuration/puller/puller.go
+++ b/internal/configuration/puller/puller.go
@@ -11,6 +11,7 @@
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/configuration/source"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/model/roster"
 	"wasabideal/internal/wire/rpc"
 )
@@ -35,6 +36,10 @@
 	RosterVersion() uint64
 	Offer(c configuration.Configuration)
 	OfferRoster(r roster.Roster)
+	Evacuations() evacuation.Evacuations
+	// OfferEvacuations comes before the configuration of the same answer, so that no flow is
+	// placed by that without them.
+	OfferEvacuations(e evacuation.Evacuations)
 }
 
 // Puller follows the newest configuration and roster.
@@ -94,11 +99,14 @@
 	ctx, cancel := context.WithTimeout(ctx, hold+p.settings.Grace)
 	defer cancel()
 	held := p.holder.Configuration()
-	q := source.Question{Revision: held.Revision, RosterVersion: p.holder.RosterVersion(), Hold: hold}
+	q := source.Question{Revision: held.Revision, RosterVersion: p.holder.RosterVersion(), Evacuations: p.holder.Evacuations().Revision, Hold: hold}
 	a, err := rpc.Call[source.Question, history.Answer](ctx, c, source.Method, q)
 	if err != nil {
 		return err
 	}
+	if a.Evacuations != nil {
+		p.holder.OfferEvacuations(*a.Evacuations)
+	}
 	if a.Roster != nil {
 		p.holder.OfferRoster(*a.Roster)
 	}
@@ -110,7 +118,7 @@
 	if next.Revision > held.Revision {
 		p.holder.Offer(next)
 	}
-	if !a.Current && a.Revision <= held.Revision && a.Roster == nil {
+	if !a.Current && a.Revision <= held.Revision && a.Roster == nil && a.Evacuations == nil {
 		return &StaleSourceError{Revision: a.Revision}
 	}
 	return nil
--- a/internal/configuration/source/source.go
+++ b/internal/configuration/source/source.go
@@ -7,6 +7,7 @@
 
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/model/roster"
 	"wasabideal/internal/wire/rpc"
 )
@@ -22,6 +23,8 @@
 	Revision uint64
 	// RosterVersion is that of the roster held.
 	RosterVersion uint64
+	// Evacuations is the revision of the orders for availability zones that is held.
+	Evacuations uint64
 	// Hold is how long the answer may wait for a newer revision.
 	Hold time.Duration
 }
@@ -31,8 +34,10 @@
 	mu      sync.Mutex
 	history history.History
 	roster  roster.Roster
-	changed chan struct{}
-	current func() bool
+	// evacuations are the orders for availability zones.
+	evacuations evacuation.Evacuations
+	changed     chan struct{}
+	current     func() bool
 }
 
 // New returns a source without a configuration; current says whether this
@@ -59,6 +64,17 @@
 	s.wake()
 }
 
+// PublishEvacuations gives followers newer orders for availability zones; older ones are
+// ignored.
+func (s *Source) PublishEvacuations(e evacuation.Evacuations) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.Revision > s.evacuations.Revision {
+		s.evacuations = e
+		s.wake()
+	}
+}
+
 // History returns the newest configuration and how it came about.
 func (s *Source) History() history.History {
 	s.mu.Lock()
@@ -87,31 +103,46 @@
 	hold := time.NewTimer(q.Hold)
 	defer hold.Stop()
 	for {
-		h, r, changed := s.state()
-		if h.Current().Revision > q.Revision || r.Version > q.RosterVersion {
-			return s.answer(h, r, q)
+		now, changed := s.state()
+		if now.news(q) {
+			return s.answer(now, q)
 		}
 		select {
 		case <-changed:
 		case <-hold.C:
-			return s.answer(h, r, q)
+			return s.answer(now, q)
 		case <-ctx.Done():
-			return s.answer(h, r, q)
+			return s.answer(now, q)
 		}
 	}
 }
 
-func (s *Source) state() (history.History, roster.Roster, chan struct{}) {
+// state is what a source has at one time.
+type state struct {
+	history     history.History
+	roster      roster.Roster
+	evacuations evacuation.Evacuations
+}
+
+// news says that there is anything newer than the follower holds.
+func (x state) news(q Question) bool {
+	return x.history.Current().Revision > q.Revision || x.roster.Version > q.RosterVersion || x.evacuations.Revision > q.Evacuations
+}
+
+func (s *Source) state() (state, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.history, s.roster, s.changed
+	return state{history: s.history, roster: s.roster, evacuations: s.evacuations}, s.changed
 }
 
-func (s *Source) answer(h history.History, r roster.Roster, q Question) history.Answer {
-	a := h.Since(q.Revision)
+func (s *Source) answer(x state, q Question) history.Answer {
+	a := x.history.Since(q.Revision)
 	a.Current = s.current()
-	if r.Version > q.RosterVersion {
-		a.Roster = &r
+	if x.roster.Version > q.RosterVersion {
+		a.Roster = &x.roster
+	}
+	if x.evacuations.Revision > q.Evacuations {
+		a.Evacuations = &x.evacuations
 	}
 	return a
 }
--- a/internal/control/ledger/ledger.go
+++ b/internal/control/ledger/ledger.go
@@ -61,6 +61,10 @@
 type ConflictError struct{ Answer Answer }
 
 func (e *ConflictError) Error() string {
+	if e.Answer.WinnerKey == "" {
+		return fmt.Sprintf("nothing was changed before, the revision is %d; send your change with --expect-revision %d and a new change key",
+			e.Answer.Revision, e.Answer.Revision)
+	}
 	return fmt.Sprintf("revision is %d by now, set by %s (change key %s); look at it and send your change with --expect-revision %d and a new change key",
 		e.Answer.Revision, e.Answer.WinnerWho, e.Answer.WinnerKey, e.Answer.Revision)
 }
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -165,6 +165,7 @@
 	if v.settings.Evacuated != nil {
 		v.settings.Evacuated(v.ledger.Evacuations())
 	}
+	v.source.PublishEvacuations(v.ledger.Evacuations())
 	v.source.Publish(v.ledger.Current().WithoutExtra())
 	if v.settings.Changed != nil && v.ledger.Current().Revision > 0 {
 		v.settings.Changed(v.source.History())
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/model/upstream"
 )
 
@@ -22,6 +23,8 @@
 	Announced Kind = "Announced"
 	// Offered is a configuration from control or from a peer.
 	Offered Kind = "Offered"
+	// Evacuated is orders for availability zones from control or from a peer.
+	Evacuated Kind = "Evacuated"
 	// StopPlanned begins the hand-over of all flows.
 	StopPlanned Kind = "StopPlanned"
 	// Stopped ends it: this balancer says goodbye.
@@ -37,4 +40,5 @@
 	// TokenSha256 is the hex digest of the token shown: a trace holds no secret.
 	TokenSha256   string                       `json:",omitempty"`
 	Configuration *configuration.Configuration `json:",omitempty"`
+	Evacuations   *evacuation.Evacuations      `json:",omitempty"`
 }
--- a/internal/daemon/balancer/balancer.go
+++ b/internal/daemon/balancer/balancer.go
@@ -20,6 +20,7 @@
 	"wasabideal/internal/core/effect"
 	"wasabideal/internal/core/event"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/request/memory"
 	"wasabideal/internal/wire/datagram"
@@ -268,6 +269,23 @@
 	}
 }
 
+// Evacuations returns the orders for availability zones in force.
+func (b *Balancer) Evacuations() evacuation.Evacuations {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reducer.Evacuations()
+}
+
+// OfferEvacuations puts orders for availability zones in force if they are newer.
+func (b *Balancer) OfferEvacuations(e evacuation.Evacuations) {
+	before := b.Evacuations()
+	_ = b.reduce(event.Event{Kind: event.Evacuated, Evacuations: &e})
+	if now := b.Evacuations(); now.Revision > before.Revision {
+		b.log.Info("zones evacuated", "Revision", now.Revision, "Zones", now.Names())
+		b.source.PublishEvacuations(now)
+	}
+}
+
 // BadInputError says how many datagrams were dropped since the last report.
 type BadInputError struct{ Datagrams uint64 }
 
--- a/internal/upstream/registry/registry.go
+++ b/internal/upstream/registry/registry.go
@@ -10,6 +10,7 @@
 
 	"wasabideal/internal/flow/router"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/model/upstream"
 )
 
@@ -64,6 +65,8 @@
 	urgent        bool
 	// reach are the zones with a balancer in sight; others are out of reach.
 	reach map[string]bool
+	// evacuations are the orders for availability zones.
+	evacuations evacuation.Evacuations
 	// balanced are the zones that had a balancer in sight ever.
 	balanced map[string]bool
 }
@@ -73,6 +76,18 @@
 	return &Registry{settings: s, entries: map[netip.AddrPort]*entry{}, balanced: map[string]bool{}}
 }
 
+// SetEvacuations takes orders for availability zones; older ones are ignored. Upstreams of an
+// evacuated zone take no new flow and no request, and keep their flows.
+func (r *Registry) SetEvacuations(e evacuation.Evacuations) {
+	if e.Revision > r.evacuations.Revision {
+		r.evacuations = e
+		r.version++
+	}
+}
+
+// Evacuations returns the orders for availability zones in force.
+func (r *Registry) Evacuations() evacuation.Evacuations { return r.evacuations }
+
 // SetReach names the zones with a balancer in sight, and reports whether that
 // is news. A zone whose balancers all went out of sight takes no new flow,
 // without waiting for its leases: an opening sent there is lost, and its
@@ -244,7 +259,7 @@
 	var live, stale []*entry
 	nearLive := false
 	for _, e := range r.sorted() {
-		if e.Service != service || e.State != upstream.Ready || e.usable.After(now) || !r.reachable(e.Zone) {
+		if e.Service != service || e.State != upstream.Ready || e.usable.After(now) || !r.reachable(e.Zone) || r.evacuations.Evacuated(e.Zone) {
 			continue
 		}
 		if now.Sub(e.heard) <= r.settings.Lease {
