--- a/internal/cookie/mechanism/mechanism.go
+++ b/internal/cookie/mechanism/mechanism.go
@@ -37,11 +37,13 @@
 	Pacing
 	// Concurrency refuses new flows beyond a balancer's share of what upstreams work on.
 	Concurrency
+	// SlowStart gives cold upstreams no more than their services say that they bear.
+	SlowStart
 )
 
 var names = [...]string{
 	"Admission", "Slowness", "OwnZone", "Suspicion", "ColdShare", "Settling", "SharedSilence",
-	"KeptPackets", "RoomAfterStart", "UploadWait", "Pacing", "Concurrency",
+	"KeptPackets", "RoomAfterStart", "UploadWait", "Pacing", "Concurrency", "SlowStart",
 }
 
 // String returns the mechanism's name as it stands in settings.
--- a/internal/cookie/router/cold.go
+++ b/internal/cookie/router/cold.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/samber/lo"
+
+	"wasabideal/internal/cookie/mechanism"
 )
 
 const (
@@ -31,15 +33,15 @@
 	return until, true
 }
 
-// bears says that an upstream may get a further flow from this balancer. A cold one bears some
-// requests a second, and would get many times as many from all balancers, of which none knows
-// what the others send: each has one balancer, of its own zone, that sends it flows. Ways
-// weighed: a share of the rate for each balancer is a request in twelve seconds for each of
-// 70, and an upstream stays cold for two; tokens that a voter lends cost a call for each
-// second and upstream, and none come while the voter is not in touch.
+// bears says that an upstream may get a further flow from this balancer.
+//
+// A cold upstream bears some requests a second, and no balancer knows what the others send:
+// with 70 of them one got 17 in a second where it bears 6. So each cold upstream has one
+// balancer, of its own zone, that sends it flows. A share of the rate for each balancer would
+// be a request in twelve seconds, and upstreams stay cold for some seconds only.
 func (r *Router) bears(now time.Time, t *target) bool {
 	until, bounded := t.coldUntil()
-	if !bounded || !now.Before(until) {
+	if !bounded || !now.Before(until) || r.settings.Off.Has(mechanism.SlowStart) {
 		return true
 	}
 	return t.Zone == r.settings.Zone && t.cold.Allows(now, t.service.coldRate) && r.assignment.Has(now, t.Incarnation)
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -101,7 +101,7 @@
 	s := r.service(name)
 	s.urgency.Note(now, route.Priority)
 	urgent := s.urgency.Urgent(now, route.Priority)
-	if v, refused := r.crowded(now, name, s, route, urgent); refused {
+	if v, refused := r.beyondShare(now, name, s, route, urgent); refused {
 		return v, true
 	}
 	if r.settings.Off.Has(mechanism.Admission) {
@@ -120,9 +120,9 @@
 	}, true
 }
 
-// crowded returns the verdict on a new flow where this balancer has its share of what the
+// beyondShare returns the verdict on a new flow where this balancer has its share of what the
 // service's upstreams may be given at once.
-func (r *Router) crowded(now time.Time, name string, s *service, route configuration.Route, urgent bool) (Verdict, bool) {
+func (r *Router) beyondShare(now time.Time, name string, s *service, route configuration.Route, urgent bool) (Verdict, bool) {
 	p := r.pools[name]
 	if p == nil || route.Class == configuration.Upload || r.settings.Off.Has(mechanism.Concurrency) {
 		return Verdict{}, false
--- a/internal/overload/slowstart/slowstart.go
+++ b/internal/overload/slowstart/slowstart.go
@@ -37,5 +37,13 @@
 		return -1
 	})
 	w.opened = slices.Delete(w.opened, 0, old)
-	return len(w.opened) < int(share*perSecond)
+	return len(w.opened) < most(perSecond)
+}
+
+// most is the flows in a window: at least one where the upstream bears one at all.
+func most(perSecond float64) int {
+	if perSecond < 1 {
+		return 0
+	}
+	return max(int(share*perSecond), 1)
 }
