--- a/internal/fanout/selection/selection.go
+++ b/internal/fanout/selection/selection.go
@@ -21,6 +21,15 @@
 	// raceFor is how long candidates have before the voters are asked instead of a parent
 	// that failed: a connection and an answer take some ms.
 	raceFor = 300 * time.Millisecond
+	// poorShare is the part of StaleAfter for which a parent may hear few voters before
+	// others are asked. What it passes on is StaleAfter old then already, half of the bound
+	// on configurations and departures; waiting as long again, a balancer whose parent was
+	// cut off from the voters placed a flow 6.2 s after a change, where 5 are allowed. A
+	// voter that restarts is back within it.
+	poorShare = 0.2
+	// firstProbeShare is the part of StaleAfter over which the first looks at the voters are
+	// spread, so that a zone does not ask them all at once.
+	firstProbeShare = 0.4
 	// probeEvery is the time between two looks at other sources while a parent hears few
 	// voters, and probeFor how long the voters are asked each time. Each balancer adds up
 	// to as much again by its address, so that they do not all ask voters that are back.
@@ -178,7 +187,12 @@
 }
 
 func (s *Selection) stale(now time.Time) bool {
-	return !s.poor.IsZero() && now.Sub(s.poor) > s.settings.StaleAfter
+	return !s.poor.IsZero() && now.Sub(s.poor) > s.part(poorShare)
+}
+
+// part returns a part of StaleAfter.
+func (s *Selection) part(share float64) time.Duration {
+	return time.Duration(share * float64(s.settings.StaleAfter))
 }
 
 // Decide returns whom to ask now.
@@ -222,9 +236,9 @@
 // probes says that the voters are asked for a moment, to see whether more of them answer
 // here than the parent hears. Where they do, the parent is left.
 func (s *Selection) probes(now time.Time) bool {
-	since := now.Sub(s.poor) - s.settings.StaleAfter
+	since := now.Sub(s.poor) - s.part(poorShare) - s.part(firstProbeShare*s.settings.Jitter)
 	every := probeEvery + time.Duration(s.settings.Jitter*float64(probeEvery))
-	return since%every > every-probeFor
+	return since >= 0 && since%every < probeFor
 }
 
 // Probed compares the voters that answer here with what the parent hears.
--- a/internal/fanout/selection/selection_test.go
+++ b/internal/fanout/selection/selection_test.go
@@ -131,8 +131,8 @@
 func TestStaleParentIsLeftForOneThatHearsMore(t *testing.T) {
 	s, c := newFollowing(t)
 	s.Answered(epoch, c[0], 1)
-	require.Equal(t, c[:1], s.Decide(at(time.Second)).Parents)
-	later := at(staleAfter + 10*time.Millisecond)
+	require.Equal(t, c[:1], s.Decide(at(staleAfter/5)).Parents)
+	later := at(staleAfter/5 + 10*time.Millisecond)
 	s.Answered(later, c[0], 1)
 	require.Equal(t, c[:2], s.Decide(later).Parents, "the parent is asked until another is better")
 	s.Answered(later, c[1], voters)
@@ -230,3 +230,40 @@
 	s.Answered(epoch, sources.Parents[1], voters)
 	require.Equal(t, sources.Parents[1], s.Parent())
 }
+
+// Symptom: a balancer that all voters could reach placed a flow by a configuration that had
+// been replaced 6.2 s before, where 5 are allowed.
+// Events: its parent is cut off from the voters, and goes on to answer; all other candidates
+// have their followers already.
+// Cause: what the parent passes on had to be StaleAfter old, half of the bound, and to stay
+// so for as long again; voters were asked up to five seconds later.
+func TestParentThatIsCutOffIsLeftWithinTheBound(t *testing.T) {
+	const bound = 2 * staleAfter
+	for _, jitter := range []float64{0, 0.5, 1} {
+		all := zone(20)
+		self := onLevel(t, 1, all)
+		s := selection.New(selection.Settings{Self: self, Shape: shape, StaleAfter: staleAfter, Jitter: jitter}, epoch.Add(-time.Minute))
+		s.Voters(epoch, 0, voters)
+		s.Fleet(epoch, all)
+		candidates := shape.Of(self, all).Candidates
+		s.Answered(epoch, candidates[0], voters)
+		left := time.Duration(0)
+		for now := staleAfter; left == 0 && now < 10*bound; now += 10 * time.Millisecond {
+			// Its parent's last contact with the voters is older than StaleAfter.
+			s.Answered(at(now), candidates[0], 0)
+			sources := s.Decide(at(now))
+			for _, c := range sources.Parents[1:] {
+				s.Failed(at(now), c)
+			}
+			if sources.Voters {
+				s.Voters(at(now), voters, voters)
+				s.Probed(at(now))
+			}
+			if s.Parent() != candidates[0] {
+				left = now
+			}
+		}
+		require.NotZero(t, left, "it is left at all")
+		require.Less(t, left, bound*9/10, "the rest is for the configuration, jitter %g", jitter)
+	}
+}
