--- a/internal/fanout/selection/selection_test.go
+++ b/internal/fanout/selection/selection_test.go
@@ -31,10 +31,10 @@
 	return out
 }
 
-// onLevel returns a balancer of a zone on a level of the tree.
-func onLevel(t *testing.T, level int, all []string) string {
+// belowTop returns a balancer of a zone on the level below the top of the tree.
+func belowTop(t *testing.T, all []string) string {
 	for _, a := range all {
-		if shape.Of(a, all).Level == level {
+		if shape.Of(a, all).Level == 1 {
 			return a
 		}
 	}
@@ -46,7 +46,7 @@
 // ago, and its candidates.
 func newChild(t *testing.T) (*selection.Selection, []string) {
 	all := zone(20)
-	self := onLevel(t, 1, all)
+	self := belowTop(t, all)
 	s := selection.New(selection.Settings{Self: self, Shape: shape, StaleAfter: staleAfter}, epoch.Add(-time.Minute))
 	s.Voters(epoch, voters, voters)
 	s.Fleet(epoch, all)
@@ -76,7 +76,7 @@
 
 func TestVotersAreFollowedJustAfterAStart(t *testing.T) {
 	all := zone(20)
-	s := selection.New(selection.Settings{Self: onLevel(t, 1, all), Shape: shape, StaleAfter: staleAfter}, epoch)
+	s := selection.New(selection.Settings{Self: belowTop(t, all), Shape: shape, StaleAfter: staleAfter}, epoch)
 	s.Fleet(epoch, all)
 	require.Equal(t, selection.Sources{Voters: true, Few: true}, s.Decide(at(300*time.Millisecond)))
 	require.NotEmpty(t, s.Decide(at(time.Second)).Parents)
@@ -88,7 +88,7 @@
 // Cause: one voter sufficed until a parent was found.
 func TestAllVotersAreAskedWhereNoParentIsFound(t *testing.T) {
 	all := zone(20)
-	s := selection.New(selection.Settings{Self: onLevel(t, 1, all), Shape: shape, StaleAfter: staleAfter}, epoch)
+	s := selection.New(selection.Settings{Self: belowTop(t, all), Shape: shape, StaleAfter: staleAfter}, epoch)
 	s.Fleet(epoch, all)
 	require.False(t, s.Decide(at(3*time.Second)).Few)
 }
@@ -241,7 +241,7 @@
 	const bound = 2 * staleAfter
 	for _, jitter := range []float64{0, 0.5, 1} {
 		all := zone(20)
-		self := onLevel(t, 1, all)
+		self := belowTop(t, all)
 		s := selection.New(selection.Settings{Self: self, Shape: shape, StaleAfter: staleAfter, Jitter: jitter}, epoch.Add(-time.Minute))
 		s.Voters(epoch, 0, voters)
 		s.Fleet(epoch, all)
