--- a/internal/fanout/assignment/assignment.go
+++ b/internal/fanout/assignment/assignment.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	// spread is how long a change of the list of balancers takes to reach all of them: four
-	// levels of a tree, each with a question that is held for 0.8 s at the most. Until
-	// then a balancer counts on no list alone: it has a thing only by all lists of that time.
-	spread = 3200 * time.Millisecond
+	// reach is how long a change of the list of balancers takes to reach all of them: four
+	// levels of a tree, each with a question that is held for 0.8 s at the most.
+	reach = 3200 * time.Millisecond
+	// spread is how long a list goes on to count after the next one came: a balancer has a
+	// thing only by all lists of that time. Twice reach, since one that leaves and joins
+	// again may hear of its joining first and never give its things up, and others hear of
+	// that as much later.
+	spread = 2 * reach
 	// startFor is how long a balancer that has just started has nothing. Voters that
 	// restarted hear of the fleet again with reports that come every 5 s, and a list of
 	// some balancers only would give each of them all there is.
