--- a/internal/cookie/follower/fetcher.go
+++ b/internal/cookie/follower/fetcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,8 +19,11 @@
 	// fetchTimeout bounds one fetch: a link of 2 Mbit/s that is busy otherwise
 	// takes about a second for a configuration of 2,000 routes.
 	fetchTimeout = 2 * time.Second
-	// fetchPause is the pause after a fetch that failed, doubled up to
-	// fetchPauseMost while they go on failing.
+	// passedOnTimeout bounds one from a balancer, which gives 3 kB at the most: 12 ms on a
+	// link of 2 Mbit/s, and more where it is busy. One that lost power never answers.
+	passedOnTimeout = 400 * time.Millisecond
+	// fetchPause is the pause before a source is asked again that failed, doubled up to
+	// fetchPauseMost while all go on failing.
 	fetchPause     = 50 * time.Millisecond
 	fetchPauseMost = time.Second
 )
@@ -32,8 +36,11 @@
 	mu       sync.Mutex
 	// voters are asked where a balancer that is followed does not give what it spoke of.
 	voters func() []string
-	// told is the newest revision that each source spoke of; tried counts the
-	// fetches from it since.
+	// told is the newest revision that each source spoke of; tried counts the fetches
+	// from it since one succeeded anywhere. A newer revision makes no source that failed
+	// better: while changes came in quick succession a balancer asked the one that it
+	// followed again for each of them, which never gave any, and held a configuration that
+	// had been replaced 5.5 s before.
 	told  map[string]uint64
 	tried map[string]int
 	wake  chan struct{}
@@ -48,9 +55,7 @@
 // tell notes that a voter has a revision.
 func (f *fetcher) tell(address string, revision uint64) {
 	f.mu.Lock()
-	if revision > f.told[address] {
-		f.told[address], f.tried[address] = revision, 0
-	}
+	f.told[address] = max(f.told[address], revision)
 	f.mu.Unlock()
 	select {
 	case f.wake <- struct{}{}:
@@ -65,9 +70,9 @@
 	return f.told[address]
 }
 
-// next returns a voter that has more than what is held, least tried first, and
-// of those the one with the newest.
-func (f *fetcher) next(held uint64) string {
+// next returns a source that has more than what is held, least tried first, and of those
+// the one with the newest, and whether it was tried before.
+func (f *fetcher) next(held uint64) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	best := ""
@@ -80,10 +85,18 @@
 			best = address
 		}
 	}
-	if best != "" {
-		f.tried[best]++
+	if best == "" {
+		return "", false
 	}
-	return best
+	f.tried[best]++
+	return best, f.tried[best] > 1
+}
+
+// succeeded notes that a source gave what it spoke of.
+func (f *fetcher) succeeded() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.tried)
 }
 
 func (f *fetcher) run(ctx context.Context) {
@@ -93,18 +106,37 @@
 			return
 		case <-f.wake:
 		}
-		pause := fetchPause
-		for address := f.next(f.listener.Held().Revision); address != ""; address = f.next(f.listener.Held().Revision) {
-			if err := f.fetch(ctx, address); err != nil {
-				f.askVoters(address)
-				f.log.Warn("configuration not fetched", "Address", address, "Error", err)
-				select {
-				case <-ctx.Done():
-					return
-				case <-time.After(pause):
-				}
-				pause = min(2*pause, fetchPauseMost)
+		f.fetchAll(ctx)
+	}
+}
+
+// fetchAll fetches until nobody has more than what is held.
+func (f *fetcher) fetchAll(ctx context.Context) {
+	pause := fetchPause
+	for {
+		held := f.listener.Held().Revision
+		address, again := f.next(held)
+		if address == "" {
+			return
+		}
+		if again {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(pause):
 			}
+			pause = min(2*pause, fetchPauseMost)
+		}
+		if err := f.fetch(ctx, address); err != nil {
+			f.askVoters(address)
+			f.log.Warn("configuration not fetched", "Address", address, "Error", err)
+			continue
+		}
+		// A source that gave nothing newer counts as tried: asked again at once, and for
+		// ever, it would keep both busy.
+		if f.listener.Held().Revision > held {
+			f.succeeded()
+			pause = fetchPause
 		}
 	}
 }
@@ -121,9 +153,17 @@
 	}
 }
 
+// timeout bounds a fetch from a source.
+func (f *fetcher) timeout(address string) time.Duration {
+	if slices.Contains(f.voters(), address) {
+		return fetchTimeout
+	}
+	return passedOnTimeout
+}
+
 // fetch gets what leads from the held configuration to the voter's newest.
 func (f *fetcher) fetch(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.timeout(address))
 	defer cancel()
 	client := rpc.NewClient(address, f.token)
 	defer client.Close()
