--- a/internal/capacity/page/page.go
+++ b/internal/capacity/page/page.go
@@ -54,6 +54,7 @@
 	p.renderLines(&b, today, plan)
 	p.renderBadDays(&b, plan)
 	b.WriteString(limitsText)
+	b.WriteString(sweepsText)
 	p.renderSlopes(&b)
 	return b.Bytes()
 }
