--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -46,10 +46,10 @@
 	if len(r.flows) >= flowLimit {
 		return
 	}
-	r.remember(k, flow{target: t, seen: now, sent: now, opening: true})
+	f := r.remember(k, flow{target: t, seen: now, sent: now, opening: true})
 	t.count(1, 0)
 	t.sentOne()
-	t.service.wait(r.flows[k])
+	t.service.wait(f)
 }
 
 // remember keeps a flow, in the place of one that ended where there is one: openings make
--- a/internal/fanout/assignment/assignment.go
+++ b/internal/fanout/assignment/assignment.go
@@ -37,6 +37,8 @@
 	self    uint64
 	started time.Time
 	lists   []list
+	// known are the addresses of the last list, as they were given.
+	known []string
 }
 
 // New returns the assignment of a balancer that starts now, known by an address.
@@ -46,6 +48,10 @@
 
 // Set takes the addresses of the balancers that are known now.
 func (a *Assignment) Set(now time.Time, addresses []string) {
+	if len(a.lists) > 0 && slices.Equal(a.known, addresses) {
+		return
+	}
+	a.known = addresses
 	members := make([]uint64, len(addresses))
 	for i, x := range addresses {
 		members[i] = xxhash.Sum64String(x)
