--- a/internal/soak/run/callers.go
+++ b/internal/soak/run/callers.go
@@ -26,18 +26,24 @@
 	run      *Run
 	ip       netip.Addr
 	conn     *net.UDPConn
-	packets  chan Segment
+	packets  chan received
 	port     uint16
 	requests int
 }
 
+// received is a packet that a caller got, with its sender.
+type received struct {
+	Segment
+	from netip.AddrPort
+}
+
 func (r *Run) startCaller(ip string) error {
 	a := netip.MustParseAddr(ip)
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(a, FabricPort)))
 	if err != nil {
 		return fmt.Errorf("listen for caller: %w", err)
 	}
-	c := &caller{run: r, ip: a, conn: conn, packets: make(chan Segment, 64), port: 1024}
+	c := &caller{run: r, ip: a, conn: conn, packets: make(chan received, 64), port: 1024}
 	r.closers = append(r.closers, func() { _ = conn.Close() })
 	r.goRun(c.receive)
 	r.goRun(c.call)
@@ -47,7 +53,7 @@
 func (c *caller) receive() {
 	buffer := make([]byte, 2048)
 	for {
-		n, err := c.conn.Read(buffer)
+		n, from, err := c.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return
 		}
@@ -57,7 +63,7 @@
 			continue
 		}
 		select {
-		case c.packets <- p:
+		case c.packets <- received{Segment: p, from: from}:
 		default:
 		}
 	}
@@ -82,7 +88,7 @@
 
 // exchange sends a packet, repeats it, and returns the first packet of the flow
 // that satisfies the condition, or false.
-func (c *caller) exchange(s Segment, limit time.Duration, wanted func(Segment) bool) (Segment, bool) {
+func (c *caller) exchange(s Segment, limit time.Duration, wanted func(Segment) bool) (received, bool) {
 	end := time.Now().Add(limit)
 	for time.Now().Before(end) && !c.run.over() {
 		c.send(s)
@@ -93,7 +99,7 @@
 		for waiting := true; waiting; {
 			select {
 			case p := <-c.packets:
-				if p.Address == s.Caller && wanted(p) {
+				if p.Address == s.Caller && wanted(p.Segment) {
 					return p, true
 				}
 			case <-repeat:
@@ -101,7 +107,7 @@
 			}
 		}
 	}
-	return Segment{}, false
+	return received{}, false
 }
 
 func (c *caller) flow() {
@@ -152,7 +158,7 @@
 		return answer{}, false
 	}
 	if p.Reset {
-		c.run.flowReset(at.Cookie)
+		c.run.flowReset(*at, p)
 		return answer{}, false
 	}
 	var a answer
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"wasabideal/internal/soak/fleet"
 	"wasabideal/internal/soak/proxy"
 )
@@ -278,18 +280,25 @@
 	return r.gone[incarnation]
 }
 
-// flowReset holds that only flows of upstreams that ended are reset.
-func (r *Run) flowReset(cookie uint32) {
+// flowReset holds that only flows of upstreams that ended are reset, and tells who sent the reset.
+func (r *Run) flowReset(flow Segment, reset received) {
 	r.mu.Lock()
 	backends := slices.Clone(r.backends)
 	r.mu.Unlock()
 	// Not under the lock: a backend that takes a packet holds its own and asks for it.
-	alive := slices.ContainsFunc(backends, func(b *backend) bool {
-		return b.cookie() == cookie && !r.isGone(b.self.Incarnation)
+	home, alive := lo.Find(backends, func(b *backend) bool {
+		return b.cookie() == flow.Cookie && !r.isGone(b.self.Incarnation)
 	})
-	if alive {
-		r.broken(PromiseFlow, fmt.Sprintf("flow with cookie %d was reset", cookie))
+	if !alive {
+		return
+	}
+	sender := reset.from.String()
+	if reset.from.Addr() == home.self.Address.Addr() {
+		sender = "its upstream"
 	}
+	r.broken(PromiseFlow, fmt.Sprintf("flow from %s to %s at upstream %x was reset by %s at %s, sequence %d (acknowledged %d)",
+		flow.Caller, flow.Address, home.self.Incarnation, sender, time.Now().UTC().Format(time.RFC3339Nano),
+		reset.Sequence, flow.Acknowledged))
 }
 
 func (r *Run) count(n *int) {
