--- a/internal/cookie/router/silence_test.go
+++ b/internal/cookie/router/silence_test.go
@@ -54,6 +54,9 @@
 	// frozen are until when a balancer stands still, queued what it finds then.
 	frozen []time.Time
 	queued [poolBalancers][]func()
+	// starved are until when an upstream's process, or all callers on their host, wait for a
+	// processor: their packets wait in a queue. Index 0 is the callers' host.
+	starved [poolUpstreams + 1]time.Time
 	users  []*user
 	ports  int
 	// asked, lost and killed count requests: all, those without an answer, and flows
@@ -259,9 +262,11 @@
 	if copies < len(repeatsAfter) {
 		flow := u.packet.Caller
 		s.After(repeatsAfter[copies]-u.elapsed(copies), func() {
-			if u.open && u.number == n && u.packet.Caller == flow && u.target != 0 {
-				s.send(u, copies+1)
-			}
+			s.onProcessor(0, func() {
+				if u.open && u.number == n && u.packet.Caller == flow && u.target != 0 {
+					s.send(u, copies+1)
+				}
+			})
 		})
 	}
 }
@@ -294,6 +299,9 @@
 					return
 				}
 				s.After(2*way, func() {
+					if s.Now.Before(s.starved[v.Incarnation]) {
+						return
+					}
 					if u.open && u.number == n && u.target == 0 && u.packet.Caller == p.Caller {
 						u.packet.Opening, u.packet.Cookie, u.target = false, v.Cookie, v.Incarnation
 						s.send(u, 0)
@@ -304,22 +312,41 @@
 	}
 }
 
+// starve lets an upstream's process, or with 0 all callers, wait for a processor.
+func (s *pool) starve(id uint64, lasts time.Duration) { s.starved[id] = s.Now.Add(lasts) }
+
+// onProcessor does something on an upstream's VM, or with 0 the callers', as soon as it has a
+// processor.
+func (s *pool) onProcessor(id uint64, do func()) {
+	if !s.Now.Before(s.starved[id]) {
+		do()
+		return
+	}
+	s.After(s.starved[id].Sub(s.Now), do)
+}
+
 // arrive runs a request at an upstream and sends the answer straight to the caller.
 func (s *pool) arrive(u *user, n int, id uint64) {
 	if s.dead[id] || s.isLost() || s.isLost() {
 		return
 	}
+	s.onProcessor(id, func() { s.work(u, n, id) })
+}
+
+func (s *pool) work(u *user, n int, id uint64) {
 	work := time.Duration((0.5 + s.random.ExpFloat64()/2) * float64(poolWork) * max(s.slow[id], 1))
-	s.After(work+way, func() {
-		if !u.open || u.number != n || u.target != id {
-			return
-		}
-		u.open = false
-		u.packet.Sequence += 300
-		u.packet.Acknowledged += 2000
-		s.through(u, u.packet, func(router.Verdict) {})
-		s.After(time.Duration(s.random.ExpFloat64()*float64(poolPause)), func() { s.ask(u) })
-	})
+	s.After(work+way, func() { s.onProcessor(0, func() { s.answer(u, n, id) }) })
+}
+
+func (s *pool) answer(u *user, n int, id uint64) {
+	if !u.open || u.number != n || u.target != id {
+		return
+	}
+	u.open = false
+	u.packet.Sequence += 300
+	u.packet.Acknowledged += 2000
+	s.through(u, u.packet, func(router.Verdict) {})
+	s.After(time.Duration(s.random.ExpFloat64()*float64(poolPause)), func() { s.ask(u) })
 }
 
 // silence plays a pool of which a quarter loses power, and returns the share of the
@@ -373,6 +400,25 @@
 	}
 }
 
+// Guards against resets of flows whose upstreams, callers or balancers only wait for a processor.
+func TestStarvedUpstreamsLoseNoFlow(t *testing.T) {
+	for seed := range uint64(*seeds) {
+		s := newPool(t, seed, true)
+		r := rand.New(rand.NewPCG(seed, 3))
+		for range 1 + r.IntN(4) {
+			id, lasts := r.Uint64N(poolUpstreams+1), time.Duration(50+r.IntN(1450))*time.Millisecond
+			s.After(time.Duration(500+r.IntN(1500))*time.Millisecond, func() { s.starve(id, lasts) })
+		}
+		if r.IntN(2) == 0 {
+			balancer, lasts := r.IntN(poolBalancers), time.Duration(r.IntN(1500))*time.Millisecond
+			s.After(time.Duration(r.IntN(2000))*time.Millisecond, func() { s.freeze(balancer, lasts) })
+		}
+		s.run(4 * time.Second)
+		require.Zero(t, s.killed, "seed %d", seed)
+		require.NotZero(t, s.asked)
+	}
+}
+
 // Symptom: a flow was reset though its upstream served.
 // Events: upstreams are slow and packets are lost in a burst; balancers report that, are
 // asked for liveness reports, and give them, all through other balancers on narrow links that
