--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -26,6 +26,8 @@
 type flow struct {
 	target *target
 	seen   time.Time
+	// opened is when its opening was placed here, zero where another balancer did.
+	opened time.Time
 	// opening is set until the caller shows that its flow is open.
 	opening bool
 	// sent is when the opening or the request under way was first sent.
@@ -46,7 +48,7 @@
 	if len(r.flows) >= flowLimit {
 		return
 	}
-	f := r.remember(k, flow{target: t, seen: now, sent: now, opening: true})
+	f := r.remember(k, flow{target: t, seen: now, opened: now, sent: now, opening: true})
 	t.count(1, 0)
 	t.sentOne()
 	t.zone.refusals.try(now)
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -31,6 +31,8 @@
 	Suspected func(view.Target)
 	// ZoneRefused is told of a zone all of whose upstreams refuse new flows, if set.
 	ZoneRefused func(zone string)
+	// Reset is told of each flow that is reset though it may be open, if set.
+	Reset func(FlowReset)
 	// Opened is told how long the caller of a new flow waited until it was open,
 	// as seen here; Answered how long one waited for the answer to a request.
 	// Either may be nil.
@@ -140,18 +142,14 @@
 	if t == nil {
 		return Verdict{Action: Drop, Reason: UnknownCookie}
 	}
+	if t.Ended && p.Reset {
+		return Verdict{Action: Drop, Reason: Ended, Incarnation: t.Incarnation, Revision: r.revision, Sequence: t.Sequence}
+	}
 	if t.Ended {
-		v := r.reset(t, Ended)
-		if p.Reset {
-			v.Action = Drop
-		}
-		return v
+		return r.ended(p.Flow(), r.flows[p.Flow()], t, Ended)
 	}
 	if p.Length > 0 && t.unresponsive() && r.Class(p.Address).Repeatable() {
-		if f := r.flows[p.Flow()]; f != nil {
-			r.forget(p.Flow(), f)
-		}
-		return r.reset(t, Unresponsive)
+		return r.ended(p.Flow(), r.flows[p.Flow()], t, Unresponsive)
 	}
 	r.note(now, p.Flow(), t, p)
 	return r.forward(t, Known)
--- a/internal/cookie/router/silence.go
+++ b/internal/cookie/router/silence.go
@@ -124,6 +124,14 @@
 	return t.doubt.unresponsive(t.alive) || t.zone.doubt.unresponsive(t.zone.alive)
 }
 
+// evidence is the doubt for which the upstream counts as unresponsive.
+func (t *target) evidence() doubts.Doubt {
+	if t.doubt.unresponsive(t.alive) {
+		return t.doubt.Doubt
+	}
+	return t.zone.doubt.Doubt
+}
+
 // doubted says that voters ask for signs of life of the upstream and none was seen here.
 func (t *target) doubted() bool { return t.doubt.open(t.alive) || t.zone.doubt.open(t.zone.alive) }
 
@@ -252,7 +260,7 @@
 	for k, f := range r.flows {
 		if f.target.unresponsive() && r.mayEnd(k.Address, f) {
 			out = append(out, Packet{Caller: k.Caller, Address: k.Address, Cookie: f.target.cookie, Acknowledged: f.acknowledged})
-			r.forget(k, f)
+			r.ended(k, f, f.target, Unresponsive)
 		}
 	}
 	return out
--- a/internal/cookie/router/silence_test.go
+++ b/internal/cookie/router/silence_test.go
@@ -57,8 +57,8 @@
 	// starved are until when an upstream's process, or all callers on their host, wait for a
 	// processor: their packets wait in a queue. Index 0 is the callers' host.
 	starved [poolUpstreams + 1]time.Time
-	users  []*user
-	ports  int
+	users   []*user
+	ports   int
 	// asked, lost and killed count requests: all, those without an answer, and flows
 	// of upstreams that live and were reset.
 	asked, lost, killed int
--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -42,6 +42,8 @@
 	recent   recent
 	// cold is what the upstream got here while it was cold.
 	cold slowstart.Window
+	// endKnown is when this balancer heard of the end of the upstream's life.
+	endKnown time.Time
 	// active says that the service lists it as such.
 	active bool
 	// doubt is what voters say, nil where they say nothing.
--- a/internal/cookie/router/upstreams.go
+++ b/internal/cookie/router/upstreams.go
@@ -56,6 +56,9 @@
 		r.targets[x.Incarnation] = t
 		r.zone(x.Zone).refusals.until = time.Time{}
 	}
+	if x.Ended && !t.Ended {
+		t.endKnown = now
+	}
 	t.Target, t.zone = x, r.zone(x.Zone)
 	if !t.clash {
 		r.cookies[t.cookie] = t
@@ -67,7 +70,7 @@
 // are reset as long as any may be open: the new life knows none of them, and their
 // callers would wait until they give up.
 func (r *Router) endLife(now time.Time, t *target) {
-	t.Ended = true
+	t.Ended, t.endKnown = true, now
 	t.leavePool()
 	delete(r.targets, t.Incarnation)
 	if !t.clash {
--- a/internal/daemon/cookie/counts.go
+++ b/internal/daemon/cookie/counts.go
@@ -14,6 +14,7 @@
 type counts struct {
 	registry         metrics.Registry
 	decisions        [router.Stray + 1]metrics.Counter
+	flowsReset       [router.Stray + 1]metrics.Counter
 	malformed        metrics.Counter
 	sendErrors       metrics.Counter
 	suspicions       metrics.Counter
@@ -38,6 +39,7 @@
 	}
 	for reason := router.Known; reason <= router.Stray; reason++ {
 		c.decisions[reason] = metrics.NewRegisteredCounter("Packets"+reason.String()+"Total", r)
+		c.flowsReset[reason] = metrics.NewRegisteredCounter("FlowsReset"+reason.String()+"Total", r)
 	}
 	return c
 }
--- a/internal/daemon/cookie/packets.go
+++ b/internal/daemon/cookie/packets.go
@@ -87,6 +87,12 @@
 	}
 }
 
+// flowReset notes that the router resets a flow that may be open; the lock is held.
+func (b *Balancer) flowReset(x router.FlowReset) {
+	b.counts.flowsReset[x.Reason].Inc(1)
+	b.reports.reset(b.settings.Clock(), b.log, x)
+}
+
 func (b *Balancer) sendFailed(err error) {
 	b.counts.sendErrors.Inc(1)
 	b.reports.lost(err)
--- a/internal/daemon/cookie/reports.go
+++ b/internal/daemon/cookie/reports.go
@@ -15,14 +15,17 @@
 	// placedMost and turnedMost bound the single decisions that are logged in
 	// that time, for flows that were placed and for packets that were not
 	// forwarded, so that a storm of packets cannot fill the log or delay packets.
+	// resetsMost is the same for flows that are reset though they may be open.
 	placedMost = 40
 	turnedMost = 40
+	resetsMost = 40
 )
 
 // reports logs decisions one by one up to a bound, and counts the rest.
 type reports struct {
 	since          time.Time
 	placed, turned int
+	resets         int
 	counts         map[router.Reason]int
 	bad            int
 	badError       error
@@ -58,6 +61,24 @@
 	log.Info("flow", args...)
 }
 
+// reset logs the reset of a flow that may be open: whether it was right can be told from the
+// evidence only.
+func (r *reports) reset(now time.Time, log hclog.Logger, x router.FlowReset) {
+	r.resets++
+	if r.resets > resetsMost {
+		return
+	}
+	args := []any{
+		"Caller", x.Flow.Caller.String(), "Address", x.Flow.Address.String(), "Reason", x.Reason.String(),
+		"Incarnation", fmt.Sprintf("%x", x.Incarnation), "Born", x.Born, "Live", x.Live, "Handshake", x.Handshake,
+		"EvidenceAge", now.Sub(x.Evidence).String(), "Voter", x.Voter,
+	}
+	if !x.Opened.IsZero() {
+		args = append(args, "OpenedHere", x.Opened.UTC().Format(time.RFC3339Nano))
+	}
+	log.Info("open flow reset", args...)
+}
+
 // take takes one line of the budget, if one is left.
 func (r *reports) take(a router.Action) bool {
 	spent, most := &r.turned, turnedMost
@@ -96,6 +117,9 @@
 	if r.bad > 0 {
 		log.Warn("datagrams malformed", "Count", r.bad, "Last", r.badError)
 	}
+	if r.resets > resetsMost {
+		log.Warn("log lines on resets of open flows left out", "Count", r.resets-resetsMost)
+	}
 	if r.sendLost > 0 {
 		log.Warn("datagrams not sent", "Count", r.sendLost, "Last", r.sendErr)
 	}
--- a/internal/daemon/cookie/silence.go
+++ b/internal/daemon/cookie/silence.go
@@ -53,7 +53,7 @@
 			b.unresponsive[s] = true
 			b.counts.unresponsive.Inc(1)
 			b.log.Info("upstream unresponsive", "Incarnation", fmt.Sprintf("%x", s.Incarnation), "Born", s.Born,
-				"Zone", s.Zone, "SilentFor", now.Sub(d.First).String(), "FlowsReset", resets)
+				"Zone", s.Zone, "SilentFor", now.Sub(d.First).String(), "Voter", d.Voter, "FlowsReset", resets)
 		}
 	}
 	for s := range b.unresponsive {
--- a/internal/silence/doubts/doubts.go
+++ b/internal/silence/doubts/doubts.go
@@ -12,6 +12,8 @@
 	First time.Time
 	// Unresponsive says that a voter has enough evidence.
 	Unresponsive bool
+	// Voter is the one that has it.
+	Voter string
 }
 
 type told struct {
@@ -83,7 +85,7 @@
 // who saw the silence.
 func (d *Doubts) All() map[word.Subject]Doubt {
 	all := map[word.Subject]Doubt{}
-	for _, t := range d.told {
+	for voter, t := range d.told {
 		if t.expired {
 			continue
 		}
@@ -93,7 +95,9 @@
 			if !known || first.Before(j.First) {
 				j.First = first
 			}
-			j.Unresponsive = j.Unresponsive || x.Unresponsive
+			if x.Unresponsive && (!j.Unresponsive || voter < j.Voter) {
+				j.Unresponsive, j.Voter = true, voter
+			}
 			all[x.Subject] = j
 		}
 	}
--- a/internal/silence/doubts/doubts_test.go
+++ b/internal/silence/doubts/doubts_test.go
@@ -19,7 +19,7 @@
 	require.True(t, d.Take(epoch, "v1", []word.Doubt{{Subject: one, Age: 300 * time.Millisecond}}))
 	require.True(t, d.Take(epoch, "v2", []word.Doubt{{Subject: one, Age: 200 * time.Millisecond, Unresponsive: true}}))
 	require.Equal(t, map[word.Subject]doubts.Doubt{
-		one: {First: epoch.Add(-300 * time.Millisecond), Unresponsive: true},
+		one: {First: epoch.Add(-300 * time.Millisecond), Unresponsive: true, Voter: "v2"},
 	}, d.All())
 	require.True(t, d.Take(epoch, "v2", nil))
 	require.False(t, d.All()[one].Unresponsive)
