--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -154,7 +154,7 @@
 	b.router = router.New(router.Settings{
 		Zone: s.Zone, Self: self, Started: s.Clock(), Seed: xxhash.Sum64String(s.Fabric), Off: s.Off, Suspected: b.suspected,
 		ZoneRefused: b.zoneRefused, Reset: b.flowReset,
-		Opened:      b.counts.opened.Record, Answered: b.counts.answered.Record,
+		Opened: b.counts.opened.Record, Answered: b.counts.answered.Record,
 	})
 	return b, err
 }
--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -9,6 +9,10 @@
 	"wasabideal/internal/model/upstream"
 )
 
+// departedAfter is how long after its departure an upstream may still serve its open flows: it ends
+// once the departure is acknowledged, or some seconds later where no acknowledgement reaches it.
+const departedAfter = 10 * time.Second
+
 // Settings bound a directory.
 type Settings struct {
 	// SilentAfter is the time without an announcement after which an upstream
@@ -24,7 +28,8 @@
 	Upstream upstream.Upstream
 	// Cold is how much longer the upstream is slow after its start.
 	Cold time.Duration
-	// Silent says that announcements are overdue here.
+	// Silent says that announcements are overdue here, or, of an upstream that has withdrawn,
+	// that it has ended.
 	Silent bool
 	// Replaced says that another incarnation was heard at the address since.
 	Replaced bool
@@ -180,7 +185,7 @@
 			}
 			continue
 		}
-		if !e.silent && e.State != upstream.Withdrawn && age > d.settings.SilentAfter {
+		if !e.silent && age > d.silentAfter(e.State) {
 			e.silent = true
 			d.tell(e)
 		}
@@ -188,6 +193,13 @@
 	return d.version != before
 }
 
+func (d *Directory) silentAfter(s upstream.State) time.Duration {
+	if s == upstream.Withdrawn {
+		return departedAfter
+	}
+	return d.settings.SilentAfter
+}
+
 // Since returns what is news after a version, in the order of incarnations.
 func (d *Directory) Since(now time.Time, version uint64) []Notice {
 	if version == d.version {
--- a/internal/upstream/view/record.go
+++ b/internal/upstream/view/record.go
@@ -92,17 +92,19 @@
 	best told
 	live bool
 	// heard says that its announcements are not overdue at some voter.
-	heard    bool
-	replaced bool
-	ended    bool
+	heard     bool
+	replaced  bool
+	withdrawn bool
+	ended     bool
 }
 
 func (j *joined) add(now time.Time, t *told, inTouch bool) {
 	withdrawn := t.Upstream.State == upstream.Withdrawn
-	if !j.ended && (j.best.at.IsZero() || withdrawn || t.Upstream.Later(j.best.Upstream)) {
+	if !j.withdrawn && (j.best.at.IsZero() || withdrawn || t.Upstream.Later(j.best.Upstream)) {
 		j.best = *t
 	}
-	j.ended = j.ended || withdrawn
+	j.withdrawn = j.withdrawn || withdrawn
+	j.ended = j.ended || withdrawn && t.Silent
 	j.replaced = j.replaced || t.Replaced
 	heard := !t.Silent && (t.until.IsZero() || now.Before(t.until))
 	j.heard = j.heard || heard
@@ -111,7 +113,9 @@
 
 func (j *joined) target() Target {
 	return Target{
-		Upstream: j.best.Upstream, ColdUntil: j.best.at.Add(j.best.Cold), Live: j.live && !j.ended,
+		Upstream: j.best.Upstream, ColdUntil: j.best.at.Add(j.best.Cold), Live: j.live && !j.withdrawn,
+		// An upstream that has withdrawn serves its open flows until it ends.
+		//
 		// Another incarnation at the address ends this one, so that its flows can
 		// be reset, but only once it is silent: a delayed announcement of the one
 		// that was there before would otherwise reset the flows of an upstream
--- a/internal/upstream/view/view.go
+++ b/internal/upstream/view/view.go
@@ -27,7 +27,7 @@
 	ColdUntil time.Time
 	// Live says that some voter heard it lately.
 	Live bool
-	// Ended says that this incarnation is certainly over.
+	// Ended says that this incarnation is certainly over, and so are its flows.
 	Ended bool
 }
 
