--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -20,8 +20,18 @@
 	Sequence     uint32
 	Acknowledged uint32
 	Length       int
+	// Waited is how long an opening waited at this VM until it was decided on.
+	Waited time.Duration
 }
 
+// rejectWithin is the age up to which an opening may be rejected. Callers repeat one after
+// 200 ms, and the copy may open the flow through another balancer.
+const rejectWithin = 180 * time.Millisecond
+
+// Rejectable says that no copy of an opening can have opened its flow yet. A reset would end
+// that flow otherwise; without one the caller gives the opening up by itself.
+func (p Packet) Rejectable() bool { return p.Copy == 0 && p.Waited < rejectWithin }
+
 // Flow names a flow by its two ends.
 type Flow struct{ Caller, Address netip.AddrPort }
 
--- a/internal/cookie/router/place.go
+++ b/internal/cookie/router/place.go
@@ -13,6 +13,14 @@
 // a second upstream that answers later would draw the caller's packets to a
 // flow that is not open there.
 func (r *Router) place(now time.Time, p Packet) Verdict {
+	v := r.placeOrReject(now, p)
+	if v.Action == Reset && !p.Rejectable() {
+		v.Action = Drop
+	}
+	return v
+}
+
+func (r *Router) placeOrReject(now time.Time, p Packet) Verdict {
 	if r.revision == 0 {
 		return Verdict{Action: Drop, Reason: Unconfigured}
 	}
--- a/internal/daemon/cookie/early.go
+++ b/internal/daemon/cookie/early.go
@@ -19,6 +19,8 @@
 type earlyPacket struct {
 	packet router.Packet
 	data   []byte
+	// arrived is when it reached this VM.
+	arrived time.Time
 }
 
 func (e earlyPacket) key() earlyKey {
@@ -27,7 +29,7 @@
 
 // keep keeps a packet until the voters have told what it takes to place it.
 func (b *Balancer) keep(now, arrived time.Time, p router.Packet, data []byte) {
-	e := earlyPacket{packet: p, data: slices.Clone(data)}
+	e := earlyPacket{packet: p, data: slices.Clone(data), arrived: arrived}
 	b.early.Keep(now, arrived, e.key(), e)
 }
 
--- a/internal/daemon/cookie/packets.go
+++ b/internal/daemon/cookie/packets.go
@@ -30,7 +30,7 @@
 		b.used = 0
 		for i := range n {
 			_, data := b.socket.Datagram(i)
-			b.handle(now, data)
+			b.handle(now, i, data)
 		}
 		if err := b.socket.Flush(); err != nil {
 			b.sendFailed(err)
@@ -41,7 +41,7 @@
 	}
 }
 
-func (b *Balancer) handle(now time.Time, data []byte) {
+func (b *Balancer) handle(now time.Time, index int, data []byte) {
 	p, err := b.settings.Codec.Decode(data)
 	if err != nil {
 		b.counts.malformed.Inc(1)
@@ -52,11 +52,16 @@
 		// The copy that waits would look like a repetition, and so like silence.
 		b.crowded.Remove(earlyPacket{packet: p}.key())
 	}
-	b.carryOut(now, now, p, data)
+	arrived := now
+	if p.Opening {
+		arrived = now.Add(-b.socket.Waited(now, index))
+	}
+	b.carryOut(now, arrived, p, data)
 }
 
 // carryOut decides on a packet that arrived at a time, and does it.
 func (b *Balancer) carryOut(now, arrived time.Time, p router.Packet, data []byte) {
+	p.Waited = now.Sub(arrived)
 	v := b.decide(now, p, data)
 	if v.Action == router.Drop && v.Reason.Early() && !b.settings.Off.Has(mechanism.KeptPackets) {
 		b.keep(now, arrived, p, data)
--- a/internal/daemon/cookie/reports.go
+++ b/internal/daemon/cookie/reports.go
@@ -46,7 +46,7 @@
 		return
 	}
 	args := []any{
-		"Caller", p.Caller.String(), "Address", p.Address.String(), "Copy", p.Copy, "Action", v.Action.String(),
+		"Caller", p.Caller.String(), "Address", p.Address.String(), "Copy", p.Copy, "Waited", p.Waited.String(), "Action", v.Action.String(),
 		"Reason", v.Reason.String(), "Cookie", p.Cookie, "Revision", v.Revision,
 	}
 	if v.Incarnation != 0 {
--- a/internal/daemon/cookie/uploads.go
+++ b/internal/daemon/cookie/uploads.go
@@ -84,14 +84,23 @@
 
 // wait lets an upload's opening wait for room on the link, if not too many do.
 func (b *Balancer) wait(now time.Time, k router.Flow, p router.Packet, data []byte) router.Verdict {
-	v := router.Verdict{Action: router.Reset, Reason: router.Busy, Revision: b.router.Revision()}
-	if !b.settings.Off.Has(mechanism.UploadWait) && b.uploads.backlog.Push(now, k, earlyPacket{packet: p, data: slices.Clone(data)}) {
+	v := b.busy(p)
+	if !b.settings.Off.Has(mechanism.UploadWait) && b.uploads.backlog.Push(now, k, earlyPacket{packet: p, data: slices.Clone(data), arrived: now.Add(-p.Waited)}) {
 		v.Action, v.Reason = router.Drop, router.Waiting
 		b.uploads.awake()
 	}
 	return v
 }
 
+// busy returns the verdict on an upload's opening that the link has no room for.
+func (b *Balancer) busy(p router.Packet) router.Verdict {
+	v := router.Verdict{Action: router.Drop, Reason: router.Busy, Revision: b.router.Revision()}
+	if p.Rejectable() {
+		v.Action = router.Reset
+	}
+	return v
+}
+
 // turn opens the uploads that there is room for now, and turns those away that
 // waited too long.
 func (b *Balancer) turn(now time.Time) {
@@ -101,12 +110,11 @@
 	admitted, late := b.uploads.backlog.Turn(now, func(k router.Flow) bool { return b.uploads.link.Admit(now, k) })
 	b.used = 0
 	for _, e := range admitted {
-		b.carryOut(now, now, e.packet, e.data)
+		b.carryOut(now, e.arrived, e.packet, e.data)
 	}
 	for _, e := range late {
-		b.perform(now, e.packet, e.data, router.Verdict{
-			Action: router.Reset, Reason: router.Busy, Revision: b.router.Revision(),
-		})
+		e.packet.Waited = now.Sub(e.arrived)
+		b.perform(now, e.packet, e.data, b.busy(e.packet))
 	}
 }
 
--- a/internal/wire/datagram/datagram.go
+++ b/internal/wire/datagram/datagram.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"time"
 
 	"golang.org/x/net/ipv4"
 )
@@ -42,8 +43,9 @@
 	s.in = make([]ipv4.Message, batchSize)
 	for i := range s.in {
 		s.in[i].Buffers = [][]byte{make([]byte, Size)}
+		s.in[i].OOB = make([]byte, stampSize)
 	}
-	return s, nil
+	return s, stampArrivals(c)
 }
 
 // Address returns where the socket listens.
@@ -62,6 +64,18 @@
 	return netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), m.Buffers[0][:m.N]
 }
 
+// Waited returns how long one of those read waited in the socket's queue, zero where the kernel
+// does not tell. It goes by the time of day, as the kernel does: after a step of that in
+// between, it may be too long.
+func (s *Socket) Waited(now time.Time, i int) time.Duration {
+	m := &s.in[i]
+	arrived, told := stamp(m.OOB[:m.NN])
+	if !told {
+		return 0
+	}
+	return now.Round(0).Sub(arrived).Abs()
+}
+
 // Queue keeps a datagram until Flush; data must stay unchanged until then.
 func (s *Socket) Queue(to netip.AddrPort, data []byte) {
 	if s.queued == len(s.out) {
