--- a/internal/control/feed/answer.go
+++ b/internal/control/feed/answer.go
@@ -129,10 +129,10 @@
 	now := f.clock()
 	a := Answer{
 		Revision: f.history.Current().Revision, Life: f.life, Version: f.directory.Version(), Members: f.members,
-		DoubtsVersion: f.silence.Version(), Zone: f.zone,
+		DoubtsVersion: f.doubtsVersion(), Zone: f.zone,
 	}
 	if q.Life != f.life || q.Doubts != a.DoubtsVersion {
-		a.Doubts = f.silence.Doubts(now)
+		a.Doubts = f.confirmed(now)
 	}
 	f.tellFleet(now, q, &a)
 	if q.From != "" {
--- a/internal/control/feed/elsewhere.go
+++ b/internal/control/feed/elsewhere.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -25,6 +26,8 @@
 type Elsewhere interface {
 	// Live returns the upstreams that others hear.
 	Live(now time.Time) []directory.Notice
+	// Address returns where one of them is, if any has heard it.
+	Address(now time.Time, incarnation, born uint64) (netip.AddrPort, bool)
 }
 
 // elsewhere is what other voters heard at a time, encoded by zone.
--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -16,6 +16,7 @@
 	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/silence/accrual"
+	"wasabideal/internal/silence/confirmation"
 	"wasabideal/internal/silence/word"
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/upstream/handover"
@@ -136,6 +137,9 @@
 	// set while a timer will look at it again.
 	silence  *accrual.Accrual
 	weighing bool
+	// confirmation is what probes say of the hosts of those upstreams.
+	confirmation *confirmation.Confirmation
+	prober       Prober
 	// doubts spaces out what is told of it.
 	doubts pacing.Pacing
 	// asked are the balancers that asked for news lately.
@@ -169,7 +173,7 @@
 func New(life uint64, d *directory.Directory, clock func() time.Time) *Feed {
 	return &Feed{
 		life: life, clock: clock, directory: d, changed: make(chan struct{}), silence: accrual.New(), asked: map[string]asked{},
-		fleet: members.New(),
+		fleet: members.New(), confirmation: confirmation.New(),
 	}
 }
 
--- a/internal/control/feed/silence.go
+++ b/internal/control/feed/silence.go
@@ -72,11 +72,12 @@
 // told just before: each tenth of a second costs the requests that are sent on flows of a
 // silent upstream meanwhile.
 func (f *Feed) weigh(now time.Time) {
-	before := f.silence.Version()
+	before := f.doubtsVersion()
 	next := f.silence.Decide(now, f.balancers(now), f.passing())
-	if f.silence.Version() != before {
+	if f.doubtsVersion() != before {
 		f.tellDoubts(now)
 	}
+	f.probe(now)
 	if next.IsZero() || f.weighing {
 		return
 	}
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -142,6 +142,7 @@
 	}, c.feed, c.log)
 	c.feed.SetZone(c.settings.Zone)
 	c.feed.SetElsewhere(c.others)
+	c.feed.SetProber(c.prober())
 	c.recallUpstreams()
 	c.server = rpc.NewServer(c.voter.Denied)
 	c.voter.Serve(c.server)
--- a/internal/daemon/control/others.go
+++ b/internal/daemon/control/others.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -79,6 +80,14 @@
 	return out
 }
 
+// Address returns where an upstream is that others heard.
+func (o *others) Address(now time.Time, incarnation, born uint64) (netip.AddrPort, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t, known := o.view.Target(now, incarnation)
+	return t.Address, known && t.Born == born && t.Address.IsValid()
+}
+
 // beside returns the upstreams that others hear and this voter does not.
 func (o *others) beside(now time.Time, own []directory.Notice) []directory.Notice {
 	heard := make(map[uint64]bool, len(own))
--- a/internal/silence/accrual/accrual.go
+++ b/internal/silence/accrual/accrual.go
@@ -53,11 +53,14 @@
 	doubtsMost = 64
 	// eventsMost bounds the events kept of one subject; more add nothing.
 	eventsMost = 32
+	// implicatedMost bounds the upstreams that are remembered of one doubt.
+	implicatedMost = 4
 )
 
 type evidence struct {
-	from        string
-	incarnation uint64
+	from string
+	// upstream is the one that the packet went to.
+	upstream word.Subject
 	// sent is when the packet was first sent, told when its repetition was reported.
 	sent, told time.Time
 	weight     float64
@@ -71,6 +74,8 @@
 	doubted, unresponsive time.Time
 	// first is when the first of the packets was sent that the doubt rests on.
 	first time.Time
+	// implicated are the upstreams that left those packets unanswered, a few of them.
+	implicated []word.Subject
 }
 
 // Accrual is the evidence that one voter was told of.
@@ -102,7 +107,7 @@
 		case e.Answered:
 			a.answered(s, at)
 		default:
-			a.unanswered(now, s, evidence{from: from, incarnation: e.Incarnation, sent: at, told: now, weight: e.Weight})
+			a.unanswered(now, s, evidence{from: from, upstream: word.Subject{Incarnation: e.Incarnation, Born: e.Born}, sent: at, told: now, weight: e.Weight})
 		}
 	}
 }
@@ -207,21 +212,43 @@
 	if r.doubted.IsZero() && weight >= doubtful {
 		r.doubted = now
 		r.first = slices.MinFunc(r.events, func(x, y evidence) int { return x.sent.Compare(y.sent) }).sent
+		r.implicated = nil
 		a.version++
 	}
+	r.implicate()
 	if r.doubted.IsZero() || !r.unresponsive.IsZero() || waited < enough || now.Sub(r.doubted) < objection {
 		return
 	}
 	if r.witnesses(func(e evidence) any { return e.from }) < min(2, balancers) {
 		return
 	}
-	if s.Zone != "" && r.witnesses(func(e evidence) any { return e.incarnation }) < zoneUpstreams {
+	if s.Zone != "" && r.witnesses(func(e evidence) any { return e.upstream }) < zoneUpstreams {
 		return
 	}
 	r.unresponsive = now
 	a.version++
 }
 
+// implicate remembers whose packets a doubt rests on, longer than the packets.
+func (r *record) implicate() {
+	if r.doubted.IsZero() {
+		return
+	}
+	for _, e := range r.events {
+		if len(r.implicated) < implicatedMost && !slices.Contains(r.implicated, e.upstream) {
+			r.implicated = append(r.implicated, e.upstream)
+		}
+	}
+}
+
+// Implicated returns the upstreams, a few of them, on whose packets a doubt rests.
+func (a *Accrual) Implicated(s word.Subject) []word.Subject {
+	if r := a.records[s]; r != nil {
+		return r.implicated
+	}
+	return nil
+}
+
 // needed returns the evidence for a doubt, and for being unresponsive.
 func (a *Accrual) needed(s word.Subject) (doubtful, enough float64) {
 	doubtful, enough = doubtFrom, upstreamFrom
--- /dev/null
+++ b/internal/silence/confirmation/confirmation_test.go
@@ -0,0 +1,108 @@
+package confirmation_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/silence/confirmation"
+	"wasabideal/internal/silence/probe"
+	"wasabideal/internal/silence/word"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(milliseconds int) time.Time { return epoch.Add(time.Duration(milliseconds) * time.Millisecond) }
+
+func upstreams(ids ...uint64) []word.Subject {
+	var out []word.Subject
+	for _, id := range ids {
+		out = append(out, word.Subject{Incarnation: id})
+	}
+	return out
+}
+
+// silent is a suspicion with evidence enough that rests on packets sent at -300 ms.
+func silent(now time.Time, s word.Subject, upstreams []word.Subject) []confirmation.Suspicion {
+	return []confirmation.Suspicion{{
+		Doubt: word.Doubt{Subject: s, Age: now.Sub(at(-300)), Unresponsive: true}, Upstreams: upstreams,
+	}}
+}
+
+func TestUpstreamIsUnresponsiveOnlyIfItsHostIsGone(t *testing.T) {
+	for o, want := range map[probe.Outcome]bool{
+		probe.Inconclusive: false, probe.Accepted: false, probe.Refused: true, probe.Unanswered: true,
+	} {
+		c := confirmation.New()
+		all := silent(at(0), word.Subject{Incarnation: 1}, upstreams(1))
+		require.False(t, c.Confirm(at(0), all)[0].Unresponsive, "not probed yet")
+		require.Equal(t, upstreams(1), c.Due(at(0), all))
+		require.Empty(t, c.Due(at(10), all), "a probe is under way")
+		before := c.Version()
+		c.Probed(at(500), at(0), word.Subject{Incarnation: 1}, o)
+		require.Equal(t, want, c.Version() > before)
+		all = silent(at(500), word.Subject{Incarnation: 1}, upstreams(1))
+		require.Equal(t, want, c.Confirm(at(500), all)[0].Unresponsive, o.String())
+	}
+}
+
+// Guards against an outcome of before that counts for a later silence.
+func TestProbeOfBeforeTheSilenceTellsNothing(t *testing.T) {
+	c := confirmation.New()
+	all := silent(at(0), word.Subject{Incarnation: 1}, upstreams(1))
+	c.Due(at(0), all)
+	c.Probed(at(500), at(0), word.Subject{Incarnation: 1}, probe.Unanswered)
+	all[0].Age = 300 * time.Millisecond
+	require.False(t, c.Confirm(at(1000), all)[0].Unresponsive)
+	require.Equal(t, upstreams(1), c.Due(at(1000), all))
+}
+
+// Guards against a verdict that stands after the host is back.
+func TestHostThatIsBackEndsTheVerdict(t *testing.T) {
+	c := confirmation.New()
+	all := silent(at(0), word.Subject{Incarnation: 1}, upstreams(1))
+	c.Due(at(0), all)
+	c.Probed(at(500), at(0), word.Subject{Incarnation: 1}, probe.Unanswered)
+	all[0].Age = 2 * time.Second
+	require.Empty(t, c.Due(at(1400), all))
+	require.Equal(t, upstreams(1), c.Due(at(1600), all))
+	require.True(t, c.Confirm(at(1600), all)[0].Unresponsive, "until it is known")
+	c.Probed(at(1601), at(1600), word.Subject{Incarnation: 1}, probe.Accepted)
+	require.False(t, c.Confirm(at(1601), all)[0].Unresponsive)
+}
+
+func TestZoneIsUnresponsiveOnlyIfAllThatWereProbedAreGone(t *testing.T) {
+	zone := word.Subject{Zone: "a"}
+	for name, c := range map[string]struct {
+		outcomes []probe.Outcome
+		want     bool
+	}{
+		"two are gone":              {[]probe.Outcome{probe.Unanswered, probe.Unanswered, probe.Inconclusive}, true},
+		"one is":                    {[]probe.Outcome{probe.Unanswered, probe.Inconclusive, probe.Inconclusive}, false},
+		"two are, and one is there": {[]probe.Outcome{probe.Unanswered, probe.Refused, probe.Accepted}, false},
+	} {
+		x := confirmation.New()
+		all := silent(at(0), zone, upstreams(1, 2, 3))
+		x.Due(at(0), all)
+		for i, o := range c.outcomes {
+			x.Probed(at(500), at(0), word.Subject{Incarnation: uint64(i + 1)}, o)
+		}
+		all = silent(at(500), zone, upstreams(1, 2, 3))
+		require.Equal(t, c.want, x.Confirm(at(500), all)[0].Unresponsive, name)
+	}
+}
+
+func TestProbesAreBounded(t *testing.T) {
+	c := confirmation.New()
+	var all []confirmation.Suspicion
+	for id := range uint64(500) {
+		all = append(all, silent(at(0), word.Subject{Incarnation: id}, upstreams(id))...)
+	}
+	require.Len(t, c.Due(at(0), all), 64)
+	require.Empty(t, c.Due(at(100), all))
+	for id := range uint64(500) {
+		c.Probed(at(500), at(0), word.Subject{Incarnation: id}, probe.Unanswered)
+	}
+	require.Len(t, c.Due(at(600), all), 64)
+}
--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"wasabideal/internal/model/upstream"
 )
 
@@ -217,6 +219,29 @@
 	return out
 }
 
+// Address returns where the life of an upstream is, if it was heard.
+func (d *Directory) Address(incarnation, born uint64) (netip.AddrPort, bool) {
+	e := d.entries[incarnation]
+	if e == nil || e.Born != born || !e.Address.IsValid() {
+		return netip.AddrPort{}, false
+	}
+	return e.Address, true
+}
+
+// Heard returns the addresses of the upstreams that announced themselves last, but for those
+// that are left out.
+func (d *Directory) Heard(most int, leftOut func(incarnation uint64) bool) []netip.AddrPort {
+	var last []*entry
+	for id, e := range d.entries {
+		if e.recalled || e.silent || e.replaced || e.State != upstream.Ready || leftOut(id) {
+			continue
+		}
+		last = append(last, e)
+	}
+	slices.SortFunc(last, func(a, b *entry) int { return b.heard.Compare(a.heard) })
+	return lo.Map(last[:min(most, len(last))], func(e *entry, _ int) netip.AddrPort { return e.Address })
+}
+
 func (e *entry) notice(now time.Time) Notice {
 	return Notice{
 		Upstream: e.Upstream, Cold: max(e.coldUntil.Sub(now), 0), Silent: e.silent, Replaced: e.replaced, Age: now.Sub(e.heard),
--- a/internal/upstream/view/view.go
+++ b/internal/upstream/view/view.go
@@ -201,6 +201,12 @@
 	return v.targets(now)
 }
 
+// Target returns one upstream, if it is known.
+func (v *View) Target(now time.Time, incarnation uint64) (Target, bool) {
+	v.age(now)
+	return v.records[incarnation].target(now, v.inTouch > 0)
+}
+
 func (v *View) targets(now time.Time) []Target {
 	out := make([]Target, 0, len(v.records))
 	for _, r := range v.records {
