--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -142,6 +142,9 @@
 	if t == nil {
 		return Verdict{Action: Drop, Reason: UnknownCookie}
 	}
+	if next := r.successor(t); next != nil {
+		t = next
+	}
 	if t.Ended && p.Reset {
 		return Verdict{Action: Drop, Reason: Ended, Incarnation: t.Incarnation, Revision: r.revision, Sequence: t.Sequence}
 	}
--- a/internal/cookie/router/upstreams.go
+++ b/internal/cookie/router/upstreams.go
@@ -66,9 +66,8 @@
 	r.enlist(t)
 }
 
-// endLife notes that the life of an upstream is over, since it started again. Its flows
-// are reset as long as any may be open: the new life knows none of them, and their
-// callers would wait until they give up.
+// endLife notes that the life of an upstream is over, since it started again. Packets of its
+// flows go to the new life as long as any may be open, see successor.
 func (r *Router) endLife(now time.Time, t *target) {
 	t.Ended, t.endKnown = true, now
 	t.leavePool()
@@ -78,6 +77,21 @@
 	}
 }
 
+// successor returns the present life of an upstream whose former one is over, nil where there
+// is none in the same service. Only the upstream knows which flows are its own: some that carry
+// the cookie of the former life were opened after the restart, before it was announced. It
+// resets the others.
+func (r *Router) successor(t *target) *target {
+	if !t.Ended {
+		return nil
+	}
+	next := r.targets[t.Incarnation]
+	if next == nil || next == t || next.clash || next.Service != t.Service {
+		return nil
+	}
+	return next
+}
+
 // forgetFormer forgets the lives whose flows are all over.
 func (r *Router) forgetFormer(now time.Time) {
 	for len(r.former) > 0 && now.Sub(r.former[0].since) > formerFor {
