--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -36,6 +36,8 @@
 
 // Main runs the command that the arguments name and returns the exit status.
 func Main(args []string) int {
+	// Daemons whose settings change while they start would end by the signal that says so.
+	signal.Ignore(syscall.SIGHUP)
 	var c commands
 	parser, err := kong.New(&c, kong.Name("wasabideal"), kong.UsageOnError(),
 		kong.Description("A layer-4 load balancer for fleets that change all at once."))
--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -21,6 +22,7 @@
 	Balancers int           `help:"Number of balancers." default:"6"`
 	Upstreams int           `help:"Number of upstreams at the start." default:"8"`
 	Callers   int           `help:"Number of callers." default:"12"`
+	Busy      int           `help:"Number of loops that take processors beside the runs." default:"0"`
 }
 
 // Help shows an example.
@@ -53,10 +55,14 @@
 		seed := c.Seed + uint64(n)
 		result, err := run.Play(ctx, run.Settings{
 			Seed: seed, For: c.For, Program: program, Folder: filepath.Join(folder, fmt.Sprint("seed-", seed)),
-			Zones: 3, Balancers: c.Balancers, Upstreams: c.Upstreams, Callers: c.Callers, World: standin.New(),
+			Zones: 3, Balancers: c.Balancers, Upstreams: c.Upstreams, Callers: c.Callers, Busy: c.Busy, World: standin.New(),
 		})
-		if err != nil {
+		var promise *run.BrokenError
+		switch {
+		case errors.As(err, &promise):
 			result.Broken = append(result.Broken, err.Error())
+		case err != nil:
+			return fmt.Errorf("play seed %d: %w", seed, err)
 		}
 		if len(result.Broken) > 0 {
 			broken++
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -25,8 +25,8 @@
 }
 
 // rejectWithin is the age up to which an opening may be rejected. Callers repeat one after
-// 200 ms, and the copy may open the flow through another balancer.
-const rejectWithin = 180 * time.Millisecond
+// 200 ms, and the copy may open the flow through another balancer; the rest is for the way here.
+const rejectWithin = 160 * time.Millisecond
 
 // Rejectable says that no copy of an opening can have opened its flow yet. A reset would end
 // that flow otherwise; without one the caller gives the opening up by itself.
--- a/internal/soak/run/callers.go
+++ b/internal/soak/run/callers.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/netip"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -57,6 +59,7 @@
 		if err != nil {
 			return
 		}
+		c.run.callers.wait()
 		p, _, err := c.run.settings.World.Decode(append([]byte(nil), buffer[:n]...), false)
 		if err != nil {
 			c.run.broken(PromiseOwn, err.Error())
@@ -71,12 +74,18 @@
 
 // send hands a packet to the balancer that the fabric's hash picks for it.
 func (c *caller) send(s Segment) {
+	c.run.callers.wait()
 	ready := c.run.rotation()
 	if len(ready) == 0 {
 		return
 	}
-	to := ready[int(s.Caller.Port())%len(ready)]
-	_, _ = c.conn.WriteToUDPAddrPort(c.run.settings.World.Encode(s), to)
+	to := ready[flowHash(s.Caller, s.Address)%uint64(len(ready))]
+	c.run.network.carry(func() { _, _ = c.conn.WriteToUDPAddrPort(c.run.settings.World.Encode(s), to) })
+}
+
+// flowHash is the fabric's, over both ends of a flow.
+func flowHash(caller, address netip.AddrPort) uint64 {
+	return xxhash.Sum64String(caller.String() + address.String())
 }
 
 func (c *caller) call() {
--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -26,10 +26,12 @@
 	// that once failed stay the same.
 	disks := rand.New(rand.NewPCG(r.settings.Seed, 2))
 	lives := rand.New(rand.NewPCG(r.settings.Seed, 3))
+	stalls := rand.New(rand.NewPCG(r.settings.Seed, 4))
 	for end := time.Now().Add(r.settings.For); time.Now().Before(end) && ctx.Err() == nil; {
 		r.fault(random)
 		r.diskFault(disks)
 		r.restartUpstream(lives)
+		r.stall(stalls)
 		time.Sleep(time.Duration(random.Int64N(int64(gapMost))))
 		r.checkExits()
 	}
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -20,6 +20,8 @@
 
 const (
 	voters = 3
+	// zonesMost bounds the availability zones.
+	zonesMost = 8
 	// startTimeout bounds the start until the first flow opens.
 	startTimeout = 20 * time.Second
 	// settleFor is how long after the last fault everything must serve again.
@@ -57,13 +59,16 @@
 	// sent are the services that any configuration sent allows an address.
 	sent map[netip.AddrPort]map[string]bool
 	// evacuated are the zones that are to get no new flows, with when that was acknowledged.
-	evacuated                              map[string]time.Time
-	requests                               map[string]int
-	acknowledged, published                uint64
-	ready                                  []string
-	result                                 Result
-	lastFault                              time.Time
-	wiping                                 atomic.Bool
+	evacuated               map[string]time.Time
+	requests                map[string]int
+	acknowledged, published uint64
+	ready                   []string
+	result                  Result
+	lastFault               time.Time
+	wiping                  atomic.Bool
+	network                 network
+	// callers and upstreams are the processors of their VMs.
+	callers, upstreams                     processor
 	ended                                  bool
 	opened, unopened, answered, unanswered int
 }
@@ -73,6 +78,9 @@
 //
 // The end of the context ends the faults early; what must hold is checked still.
 func Play(ctx context.Context, s Settings) (Result, error) {
+	if err := s.check(); err != nil {
+		return Result{Seed: s.Seed}, err
+	}
 	r := &Run{
 		settings: s, processes: map[string]*fleet.Process{}, gone: map[uint64]bool{}, requests: map[string]int{},
 		sent: map[netip.AddrPort]map[string]bool{}, evacuated: map[string]time.Time{}, lastFault: time.Now(), result: Result{Seed: s.Seed},
@@ -128,8 +136,36 @@
 	r.running.Wait()
 }
 
+// subnet is how many machines of a kind and zone have addresses in one network of 256, and
+// machinesMost how many there may be of a kind.
+const (
+	subnet       = 250
+	machinesMost = 20 * subnet
+)
+
 // ip returns a loopback address of its own for a kind of machine.
-func ip(kind, zone, n int) string { return fmt.Sprintf("127.%d.%d.%d", kind, zone+1, n+1) }
+func ip(kind, zone, n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", kind, zone+1+n/subnet*zonesMost, n%subnet+1)
+}
+
+// check returns an error for settings that no run can be played with.
+func (s Settings) check() error {
+	for _, x := range []struct {
+		name  string
+		value int
+		most  int
+	}{
+		{"Zones", s.Zones, zonesMost},
+		{"Balancers", s.Balancers, machinesMost},
+		{"Upstreams", s.Upstreams, machinesMost},
+		{"Callers", s.Callers, machinesMost},
+	} {
+		if x.value < 1 || x.value > x.most {
+			return &SettingError{Name: x.name, Value: x.value, Most: x.most}
+		}
+	}
+	return nil
+}
 
 // The kinds of machines, as the second byte of their addresses.
 const (
@@ -230,6 +266,9 @@
 		return err
 	}
 	r.goRun(r.watchReadiness)
+	for range r.settings.Busy {
+		r.goRun(r.burn)
+	}
 	r.goRun(r.operate)
 	r.goRun(r.evacuateZones)
 	for n := range r.settings.Callers {
--- /dev/null
+++ b/internal/soak/run/run_test.go
@@ -0,0 +1,18 @@
+package run_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/soak/run"
+)
+
+// Guards against a panic where a run is asked for more machines than there are addresses.
+func TestRunsThatCannotBePlayedAreRefused(t *testing.T) {
+	_, err := run.Play(t.Context(), run.Settings{Zones: 3, Balancers: 6, Upstreams: 8, Callers: 100_000})
+	var setting *run.SettingError
+	require.ErrorAs(t, err, &setting)
+	require.Equal(t, "Callers", setting.Name)
+	require.Equal(t, "Callers is 100000; allowed: 1 to 5000", err.Error())
+}
--- a/internal/soak/run/upstreams.go
+++ b/internal/soak/run/upstreams.go
@@ -33,7 +33,11 @@
 	run  *Run
 	self upstream.Upstream
 	conn *net.UDPConn
-	mu   sync.Mutex
+	// door completes handshakes as long as the upstream runs, as its kernel does.
+	door net.Listener
+	// processor is the upstream's own; all of them share the run's.
+	processor processor
+	mu        sync.Mutex
 	// flows are the sequences that callers have sent in full, by caller.
 	flows map[netip.AddrPort]*backendFlow
 	left  time.Time
@@ -51,7 +55,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for upstream: %w", err)
 	}
-	b := &backend{run: r, conn: conn, flows: map[netip.AddrPort]*backendFlow{}, done: make(chan struct{})}
+	door, err := net.Listen("tcp4", address)
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("listen for probes of upstream: %w", err)
+	}
+	b := &backend{run: r, conn: conn, door: door, flows: map[netip.AddrPort]*backendFlow{}, done: make(chan struct{})}
 	b.self = upstream.Upstream{
 		Identity: upstream.Identity{Service: service, Address: a, Incarnation: rand.Uint64() >> 24},
 		Zone:     zone, Slots: 2, State: upstream.Ready, Born: uint64(time.Now().UnixMilli()),
@@ -64,12 +73,20 @@
 func (b *backend) stop() {
 	close(b.done)
 	_ = b.conn.Close()
+	_ = b.door.Close()
+}
+
+// wait returns once the upstream has a processor.
+func (b *backend) wait() {
+	b.run.upstreams.wait()
+	b.processor.wait()
 }
 
 // announce tells whom it was referred to, or any voter, of the upstream, again and again.
 func (b *backend) announce() {
 	next := ""
 	for n := 0; ; n++ {
+		b.wait()
 		b.mu.Lock()
 		b.self.Sequence++
 		u := b.self
@@ -126,6 +143,7 @@
 		if err != nil {
 			return
 		}
+		b.wait()
 		p, meant, err := b.run.settings.World.Decode(buffer[:n], true)
 		if err != nil {
 			b.run.broken(PromiseOwn, err.Error())
@@ -186,7 +204,7 @@
 	s.Cookie, s.Acknowledged, s.Sequence = p.Cookie, acknowledged, p.Acknowledged
 	to := netip.AddrPortFrom(p.Caller.Addr(), FabricPort)
 	// A caller that is gone does not matter here.
-	_, _ = b.conn.WriteToUDPAddrPort(b.run.settings.World.Encode(s), to)
+	b.run.network.carry(func() { _, _ = b.conn.WriteToUDPAddrPort(b.run.settings.World.Encode(s), to) })
 }
 
 // cookie is what the callers of the present life's flows return.
--- a/internal/soak/run/world.go
+++ b/internal/soak/run/world.go
@@ -66,7 +66,19 @@
 	// Folder takes settings, disks and logs.
 	Folder                               string
 	Zones, Balancers, Upstreams, Callers int
-	World                                World
+	// Busy is how many loops take processors beside the run.
+	Busy  int
+	World World
+}
+
+// SettingError is a setting with which no run can be played.
+type SettingError struct {
+	Name        string
+	Value, Most int
+}
+
+func (e *SettingError) Error() string {
+	return fmt.Sprintf("%s is %d; allowed: 1 to %d", e.Name, e.Value, e.Most)
 }
 
 // BrokenError is a promise that did not hold.
