--- a/internal/control/feed/probe.go
+++ b/internal/control/feed/probe.go
@@ -48,15 +48,19 @@
 	if f.prober == nil {
 		return
 	}
-	for _, u := range f.confirmation.Due(now, f.suspicions(now)) {
+	due := f.confirmation.Due(now, f.suspicions(now))
+	if len(due) == 0 {
+		return
+	}
+	beside := f.directory.Heard(references, func(incarnation uint64) bool {
+		return f.silence.Questioned(word.Event{Incarnation: incarnation})
+	})
+	for _, u := range due {
 		address, known := f.address(now, u)
 		if !known {
 			f.confirmation.Probed(now, now, u, probe.Inconclusive)
 			continue
 		}
-		beside := f.directory.Heard(references, func(incarnation uint64) bool {
-			return f.silence.Questioned(word.Event{Incarnation: incarnation})
-		})
 		go f.check(now, u, address, beside)
 	}
 }
--- a/internal/soak/run/callers.go
+++ b/internal/soak/run/callers.go
@@ -19,8 +19,9 @@
 	requestLimit = 8 * time.Second
 	// pauseMost is the longest pause between two requests of a flow.
 	pauseMost = 150 * time.Millisecond
-	// requestsMost bounds the requests of one flow.
+	// requestsMost bounds the requests of one flow, shortMost those of every second flow.
 	requestsMost = 60
+	shortMost    = 3
 )
 
 // caller opens one flow after the other and sends requests on each.
@@ -135,7 +136,11 @@
 	at.Opening, at.Open, at.Acknowledge, at.Copy = false, false, true, 0
 	at.Sequence, at.Acknowledged, at.Cookie = s.Sequence+1, opened.Sequence+1, opened.Cookie
 	var home uint64
-	for n := 0; n < requestsMost && !c.run.over(); n++ {
+	most := requestsMost
+	if c.port%2 == 0 {
+		most = 1 + rand.IntN(shortMost)
+	}
+	for n := 0; n < most && !c.run.over(); n++ {
 		got, ok := c.request(&at)
 		if !ok {
 			return
--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -172,6 +172,10 @@
 	return true
 }
 
+// withdrawnFor is how long an upstream that has withdrawn serves its flows, as one does that gets
+// no acknowledgement.
+const withdrawnFor = 4 * time.Second
+
 // replaceUpstream lets an upstream leave and another start at a new address.
 func (r *Run) replaceUpstream(random *rand.Rand) {
 	r.mu.Lock()
@@ -191,8 +195,9 @@
 	r.backends = append(r.backends, b)
 	r.mu.Unlock()
 	old.leave()
-	// It serves its flows on until the longest of them has ended.
-	time.AfterFunc(requestsMost*pauseMost+requestLimit, func() {
+	time.AfterFunc(leavingFor, old.withdraw)
+	// Until it ends, it serves its flows on.
+	time.AfterFunc(leavingFor+withdrawnFor, func() {
 		r.mu.Lock()
 		ended := r.ended || r.gone[old.self.Incarnation]
 		r.gone[old.self.Incarnation] = true
--- a/internal/soak/run/stalls.go
+++ b/internal/soak/run/stalls.go
@@ -12,6 +12,7 @@
 	stallMost  = 1500 * time.Millisecond
 	// stallShare is how many faults there are for one stall.
 	stallShare = 3
+	stallKinds = 5
 )
 
 // processor is what some parties of a run wait for while it is taken.
@@ -32,8 +33,11 @@
 
 // stall lets one party wait for a processor, or all of a kind at once. Nobody is told of it.
 func (r *Run) stall(random *rand.Rand) {
-	kind, pick := random.IntN(5*stallShare), random.Int()
+	kind, pick := random.IntN(stallKinds*stallShare), random.Int()
 	lasts := stallLeast + time.Duration(random.Int64N(int64(stallMost-stallLeast)))
+	if kind < stallKinds {
+		r.noteFault()
+	}
 	switch kind {
 	case 0:
 		r.pauseFor(r.names[pick%len(r.names)], lasts)
@@ -54,7 +58,6 @@
 }
 
 func (r *Run) pauseFor(name string, lasts time.Duration) {
-	r.noteFault()
 	p := r.processes[name]
 	p.Pause()
 	time.AfterFunc(lasts, p.Resume)
--- a/internal/soak/run/upstreams.go
+++ b/internal/soak/run/upstreams.go
@@ -123,6 +123,13 @@
 	b.self.State = upstream.Draining
 }
 
+// withdraw tells that the upstream ends; it goes on serving its flows for a while.
+func (b *backend) withdraw() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.self.State = upstream.Withdrawn
+}
+
 // restart forgets all flows and announcements, as a crash does. One that leaves goes on
 // to leave.
 func (b *backend) restart() {
--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -246,15 +246,20 @@
 // Heard returns the addresses of the upstreams that announced themselves last, but for those
 // that are left out.
 func (d *Directory) Heard(most int, leftOut func(incarnation uint64) bool) []netip.AddrPort {
+	latestFirst := func(a, b *entry) int { return b.heard.Compare(a.heard) }
 	var last []*entry
 	for id, e := range d.entries {
-		if e.recalled || e.silent || e.replaced || e.State != upstream.Ready || leftOut(id) {
+		if e.recalled || e.silent || e.replaced || e.State != upstream.Ready {
+			continue
+		}
+		if len(last) == most && !e.heard.After(last[most-1].heard) || leftOut(id) {
 			continue
 		}
 		last = append(last, e)
+		slices.SortFunc(last, latestFirst)
+		last = last[:min(most, len(last))]
 	}
-	slices.SortFunc(last, func(a, b *entry) int { return b.heard.Compare(a.heard) })
-	return lo.Map(last[:min(most, len(last))], func(e *entry, _ int) netip.AddrPort { return e.Address })
+	return lo.Map(last, func(e *entry, _ int) netip.AddrPort { return e.Address })
 }
 
 func (e *entry) notice(now time.Time) Notice {
--- a/internal/upstream/directory/directory_test.go
+++ b/internal/upstream/directory/directory_test.go
@@ -139,6 +139,27 @@
 	}
 }
 
+func TestUpstreamsHeardLastComeFirst(t *testing.T) {
+	d := newDirectory()
+	for id := range uint64(9) {
+		u := announced(id+1, 1, upstream.Ready)
+		u.Address = netip.AddrPortFrom(u.Address.Addr(), uint16(id+1))
+		if id == 7 {
+			u.State = upstream.Draining
+		}
+		d.Announce(epoch.Add(time.Duration(id)*time.Millisecond), u, 0)
+	}
+	ports := func(most int) []uint16 {
+		var out []uint16
+		for _, a := range d.Heard(most, func(id uint64) bool { return id == 6 }) {
+			out = append(out, a.Port())
+		}
+		return out
+	}
+	require.Equal(t, []uint16{9, 7, 5}, ports(3))
+	require.Len(t, ports(20), 7)
+}
+
 func replaced(d *directory.Directory) []bool {
 	var out []bool
 	for _, n := range d.Since(epoch, 0) {
