--- a/internal/control/feed/feed_test.go
+++ b/internal/control/feed/feed_test.go
@@ -109,10 +109,12 @@
 	f.Report(epoch, word.Report{From: "b2", Events: []word.Event{missed}})
 	f.Tick(epoch.Add(100 * time.Millisecond))
 	second := <-answers
-	for !second.Doubts[0].Unresponsive {
+	if !second.Doubts[0].Unresponsive {
+		// The evidence sufficed before the probe had ended.
 		go ask(second.DoubtsVersion)
 		second = <-answers
 	}
+	require.True(t, second.Doubts[0].Unresponsive)
 	go ask(second.DoubtsVersion)
 	_, answered := f.Announce(epoch.Add(200*time.Millisecond), u, 0)
 	require.True(t, answered, "an announcement is a sign of life that other voters do not hear")
--- a/internal/daemon/cookie/reports.go
+++ b/internal/daemon/cookie/reports.go
@@ -14,8 +14,8 @@
 	reportEvery = time.Second
 	// placedMost and turnedMost bound the single decisions that are logged in
 	// that time, for flows that were placed and for packets that were not
-	// forwarded, so that a storm of packets cannot fill the log or delay packets.
-	// resetsMost is the same for flows that are reset though they may be open.
+	// forwarded, so that a storm of packets cannot fill the log or delay packets;
+	// resetsMost bounds those on flows that are reset though they may be open.
 	placedMost = 40
 	turnedMost = 40
 	resetsMost = 40
--- a/internal/silence/probe/probe.go
+++ b/internal/silence/probe/probe.go
@@ -9,12 +9,12 @@
 	"time"
 )
 
-// Outcome is what a probe tells of a host.
+// Outcome is the result of probing a host.
 type Outcome uint8
 
 // The outcomes.
 const (
-	// Inconclusive probes tell nothing: no other host answered either, or this process stood
+	// Inconclusive probes prove nothing: no other host answered either, or this process stood
 	// still.
 	Inconclusive Outcome = iota
 	// Accepted means that the host is there and listens.
--- a/internal/upstream/view/record.go
+++ b/internal/upstream/view/record.go
@@ -114,12 +114,9 @@
 func (j *joined) target() Target {
 	return Target{
 		Upstream: j.best.Upstream, ColdUntil: j.best.at.Add(j.best.Cold), Live: j.live && !j.withdrawn,
-		// An upstream that has withdrawn serves its open flows until it ends.
-		//
-		// Another incarnation at the address ends this one, so that its flows can
-		// be reset, but only once it is silent: a delayed announcement of the one
-		// that was there before would otherwise reset the flows of an upstream
-		// that serves.
+		// One that has withdrawn serves its open flows until it ends. Another incarnation at
+		// the address ends this one only once it is silent: a delayed announcement of an
+		// earlier one would otherwise reset the flows of an upstream that serves.
 		Ended: j.ended || j.replaced && !j.heard,
 	}
 }
