--- a/internal/cookie/follower/fetcher.go
+++ b/internal/cookie/follower/fetcher.go
@@ -26,6 +26,10 @@
 	// fetchPauseMost while all go on failing.
 	fetchPause     = 50 * time.Millisecond
 	fetchPauseMost = time.Second
+	// missingAfter is how long a balancer goes without a configuration that it has heard of until
+	// its followers are told to fetch that elsewhere. Until then they would only ask the voters
+	// for what this one is about to have.
+	missingAfter = time.Second
 )
 
 // fetcher gets configurations from one voter at a time.
@@ -44,6 +48,9 @@
 	told  map[string]uint64
 	tried map[string]int
 	wake  chan struct{}
+	// behind is since when a newer revision than lastHeld was known here, zero where none is.
+	behind   time.Time
+	lastHeld uint64
 }
 
 func newFetcher(token string, l Listener, voters func() []string, log hclog.Logger) *fetcher {
@@ -70,6 +77,28 @@
 	return f.told[address]
 }
 
+// missing returns the newest revision heard of, if this balancer has got no newer one than it
+// holds for some time: it is cut off from those who have it. 0 otherwise.
+func (f *fetcher) missing(now time.Time, held uint64) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	newest := uint64(0)
+	for _, revision := range f.told {
+		newest = max(newest, revision)
+	}
+	switch {
+	case newest <= held:
+		f.behind = time.Time{}
+		return 0
+	case f.behind.IsZero() || held > f.lastHeld:
+		f.behind, f.lastHeld = now, held
+	}
+	if now.Sub(f.behind) < missingAfter {
+		return 0
+	}
+	return newest
+}
+
 // next returns a source that has more than what is held, least tried first, and of those
 // the one with the newest, and whether it was tried before.
 func (f *fetcher) next(held uint64) (string, bool) {
@@ -132,12 +161,13 @@
 			f.log.Warn("configuration not fetched", "Address", address, "Error", err)
 			continue
 		}
-		// A source that gave nothing newer counts as tried: asked again at once, and for
-		// ever, it would keep both busy.
-		if f.listener.Held().Revision > held {
-			f.succeeded()
-			pause = fetchPause
+		if f.listener.Held().Revision == held {
+			// It counts as tried: asked again at once, and for ever, it would keep both busy.
+			f.askVoters(address)
+			continue
 		}
+		f.succeeded()
+		pause = fetchPause
 	}
 }
 
--- a/internal/cookie/follower/fetcher_test.go
+++ b/internal/cookie/follower/fetcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
@@ -37,3 +38,23 @@
 	require.False(t, again)
 	require.Less(t, f.timeout("dead"), f.timeout("voter")/2)
 }
+
+// Guards against a balancer that is cut off from the voters, and hides from its followers that
+// there is a configuration which it cannot get and they can.
+func TestRevisionThatCannotBeGotIsToldToFollowers(t *testing.T) {
+	f := newFetcher("", nil, func() []string { return nil }, hclog.NewNullLogger())
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	f.tell("parent", 4)
+	require.Zero(t, f.missing(at(0), 4))
+	f.tell("parent", 10)
+	require.Zero(t, f.missing(at(100), 4), "it is about to get it")
+	f.tell("parent", 12)
+	require.Zero(t, f.missing(at(1000), 4))
+	require.Equal(t, uint64(12), f.missing(at(1100), 4))
+	require.Zero(t, f.missing(at(1200), 10), "it gets some")
+	require.Equal(t, uint64(12), f.missing(at(2200), 10))
+	require.Zero(t, f.missing(at(2300), 12))
+	f.tell("parent", 13)
+	require.Zero(t, f.missing(at(3400), 12))
+}
--- a/internal/cookie/follower/serving.go
+++ b/internal/cookie/follower/serving.go
@@ -24,6 +24,10 @@
 	return a, news
 }
 
+// Missing returns the newest revision that this balancer has heard of and cannot get for some
+// time, beyond the one that it holds; 0 where there is none.
+func (f *Follower) Missing(now time.Time, held uint64) uint64 { return f.fetcher.missing(now, held) }
+
 // Attend notes the balancers that follow this one.
 func (f *Follower) Attend(now time.Time, all []members.Attendance) {
 	f.mu.Lock()
--- a/internal/daemon/cookie/fanout.go
+++ b/internal/daemon/cookie/fanout.go
@@ -153,7 +153,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a.Revision = b.held.Revision
+	a.Revision = max(b.held.Revision, b.follower.Missing(now, b.held.Revision))
 	if b.evacuations.Revision > q.Evacuations {
 		e := b.evacuations
 		a.Evacuations, news = &e, true
--- a/internal/fanout/relay/relay.go
+++ b/internal/fanout/relay/relay.go
@@ -49,7 +49,8 @@
 
 // Answer brings a balancer up to date.
 type Answer struct {
-	// Revision is that of the configuration in force here.
+	// Revision is that of the configuration in force here, or of a newer one that this balancer
+	// has heard of for some time and cannot get.
 	Revision uint64
 	// Origins are what the voters said.
 	Origins []origins.Origin
