--- a/internal/cookie/mechanism/mechanism.go
+++ b/internal/cookie/mechanism/mechanism.go
@@ -40,11 +40,18 @@
 	Concurrency
 	// SlowStart limits cold upstreams to the rate configured for their service.
 	SlowStart
+	// ZonePlacement sends new flows to other availability zones by the load of all zones.
+	ZonePlacement
+	// ZoneAdmission rejects new flows by the load of all zones.
+	ZoneAdmission
+	// LinkAdmission rejects new flows beyond the capacity of the VM's link.
+	LinkAdmission
 )
 
 var names = [...]string{
 	"Admission", "Slowness", "OwnZone", "Suspicion", "ColdShare", "Settling", "SharedSilence",
 	"KeptPackets", "RoomAfterStart", "UploadWait", "Pacing", "Concurrency", "SlowStart",
+	"ZonePlacement", "ZoneAdmission", "LinkAdmission",
 }
 
 // String returns the mechanism's name as used in settings.
--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -111,6 +111,7 @@
 	if f.opening {
 		f.opening = false
 		t.addPending(-1, 0)
+		r.noteHandshake(now, f)
 		r.noteFlowAnswer(now, f)
 		notify(r.settings.Opened, now.Sub(f.sent))
 		f.nextSequence, f.acknowledged = p.Sequence, p.Acknowledged
@@ -130,6 +131,16 @@
 	}
 }
 
+// noteHandshake records the duration of a handshake. After a retransmission it is unknown which
+// copy of the opening was answered.
+func (r *Router) noteHandshake(now time.Time, f *flow) {
+	if !f.retransmitted {
+		took := now.Sub(f.sent)
+		r.recentHandshakes.Record(now, took)
+		r.handshakes.Record(now, took)
+	}
+}
+
 // noteFlowAnswer records that the upstream of a flow answered.
 func (r *Router) noteFlowAnswer(now time.Time, f *flow) {
 	r.losses.answered++
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -6,10 +6,12 @@
 
 	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/fanout/assignment"
+	"wasabideal/internal/metric/minimum"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/silence/evidence"
 	"wasabideal/internal/upstream/view"
+	"wasabideal/internal/zoneload/snapshot"
 )
 
 // Settings configures the router of one balancer.
@@ -78,8 +80,20 @@
 	balancers int
 	// evacuations are the evacuation orders in force.
 	evacuations evacuation.Evacuations
+	// zoneLoad is the latest view of the load of all zones; its zero value knows none.
+	zoneLoad snapshot.Snapshot
+	// recentHandshakes and handshakes hold the durations of handshakes without a retransmission.
+	// The shortest recent one exceeds the shortest of all by the queueing delay of the VM's link.
+	recentHandshakes, handshakes *minimum.Window
 }
 
+const (
+	// recentHandshakeWindow holds a few handshakes at 20 new flows a second or more.
+	recentHandshakeWindow = 100 * time.Millisecond
+	// handshakeWindow is longer than a link stays full without a break.
+	handshakeWindow = 10 * time.Second
+)
+
 // route is a configured route with its precomputed backends.
 type route struct {
 	configuration.Route
@@ -95,6 +109,7 @@
 		settings: s, assignment: assignment.New(s.Started, s.Self), reportBudget: reportBurst, rotation: int(s.Seed % initialRotations), routes: map[netip.AddrPort]route{}, targets: map[uint64]*target{},
 		cookies: map[uint32]*target{}, pools: map[string]*pool{}, flows: map[Flow]*flow{},
 		zones: map[string]*zone{}, services: map[string]*service{},
+		recentHandshakes: minimum.New(recentHandshakeWindow), handshakes: minimum.New(handshakeWindow),
 	}
 }
 
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -88,6 +88,9 @@
 	// StopTimeout limits the duration of a planned stop.
 	StopTimeout time.Duration
 	Codec       Codec
+	// SharedLoad enables the exchange of load reports with other balancers and the voters, and the
+	// decisions that use them.
+	SharedLoad bool
 	// LinkBytesPerSecond is the bandwidth of the VM's link; 0 disables pacing.
 	LinkBytesPerSecond float64
 	// Off lists the disabled mechanisms.
--- /dev/null
+++ b/internal/metric/minimum/doc.go
@@ -0,0 +1,2 @@
+// Package minimum tracks the shortest duration of a sliding window.
+package minimum
