--- a/internal/zoneload/report/report.go
+++ b/internal/zoneload/report/report.go
@@ -1,6 +1,11 @@
 package report
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
 
 // The tiers of new flows. Urgent flows have the best priority in demand (see package urgency) and
 // are rejected last.
@@ -12,7 +17,6 @@
 
 // Report is the load of a balancer and of the followers whose reports it has received.
 type Report struct {
-	_ struct{} `cbor:",toarray"`
 	// Origin is the RPC address of the sender. Life is the start time of its process in ns, and
 	// Sequence rises with each report of a life.
 	Origin         string
@@ -24,12 +28,14 @@
 	// Balancers is the number of balancers whose load is included.
 	Balancers int
 	Link      Link
-	Services  []Service
+	// Partial is set if services were left out. A service that is not listed is then unknown,
+	// otherwise it is unused. Each listed service includes the load of all included balancers.
+	Partial  bool
+	Services []Service
 }
 
 // Link is the state of the busiest link among the included balancers.
 type Link struct {
-	_ struct{} `cbor:",toarray"`
 	// Use is the used share of the bandwidth in the busier direction.
 	Use float64
 	// Delay is the estimated queueing delay.
@@ -38,7 +44,6 @@
 
 // Service is the load of one service.
 type Service struct {
-	_    struct{} `cbor:",toarray"`
 	Name string
 	// Occupied holds the slots that the included balancers' callers occupy, by the availability
 	// zone of the upstreams.
@@ -49,13 +54,13 @@
 
 // Answer is a receiver's answer to a report: the load of all zones that it knows.
 type Answer struct {
-	_     struct{} `cbor:",toarray"`
-	Zones []Zone
+	// Sequence is that of the report that is answered.
+	Sequence uint64
+	Zones    []Zone
 }
 
 // Zone is the load of the callers of one availability zone.
 type Zone struct {
-	_    struct{} `cbor:",toarray"`
 	Name string
 	// Age is the age of the oldest included figure when the answer was sent.
 	Age time.Duration
@@ -63,5 +68,74 @@
 	// zone's balancers that the voter knows, 0 if it knows none.
 	Balancers, Known int
 	Link             Link
-	Services         []Service
+	// Partial is set if services were left out, as in Report.
+	Partial  bool
+	Services []Service
+}
+
+// Total returns the occupied slots in all zones.
+func (s Service) Total() float64 {
+	sum := 0.0
+	for _, zone := range slices.Sorted(maps.Keys(s.Occupied)) {
+		sum += s.Occupied[zone]
+	}
+	return sum
+}
+
+// Plus returns the report with the figures of another report of the same zone added. The identity
+// remains that of r.
+func (r Report) Plus(other Report) Report {
+	r.Age = max(r.Age, other.Age)
+	r.Balancers += other.Balancers
+	r.Link = r.Link.busier(other.Link)
+	r.Services = addServices(r, other)
+	r.Partial = r.Partial || other.Partial
+	return r
+}
+
+func (l Link) busier(other Link) Link {
+	if other.Use > l.Use || other.Use == l.Use && other.Delay > l.Delay {
+		return other
+	}
+	return l
+}
+
+// addServices returns the sums of the services of two reports, sorted by name. It leaves out a
+// service that one of the reports may have left out, since its sum is unknown: an incomplete sum
+// would look like free capacity.
+func addServices(a, b Report) []Service {
+	byName := make(map[string]Service, len(a.Services))
+	for _, s := range a.Services {
+		byName[s.Name] = s
+	}
+	sums := make([]Service, 0, max(len(a.Services), len(b.Services)))
+	for _, s := range b.Services {
+		if held, both := byName[s.Name]; both {
+			sums = append(sums, held.plus(s))
+			delete(byName, s.Name)
+		} else if !a.Partial {
+			sums = append(sums, s)
+		}
+	}
+	if !b.Partial {
+		sums = slices.AppendSeq(sums, maps.Values(byName))
+	}
+	slices.SortFunc(sums, func(x, y Service) int { return strings.Compare(x.Name, y.Name) })
+	return sums
+}
+
+// plus returns the sum of two loads of the same service. It does not change the operands, whose
+// maps may be shared.
+func (s Service) plus(other Service) Service {
+	occupied := make(map[string]float64, max(len(s.Occupied), len(other.Occupied)))
+	maps.Copy(occupied, s.Occupied)
+	for zone, n := range other.Occupied {
+		occupied[zone] += n
+	}
+	s.Occupied = occupied
+	for tier := range Tiers {
+		s.Admitted[tier] += other.Admitted[tier]
+		s.Rejected[tier] += other.Rejected[tier]
+	}
+	return s
 }
