--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -51,6 +51,7 @@
 		return
 	}
 	f := r.addFlow(k, flow{target: t, lastPacket: now, opened: now, sent: now, opening: true})
+	t.load.occupied.Advance(now)
 	t.addPending(1, 0)
 	t.noteSent()
 	t.zone.refusals.noteNewFlow(now)
@@ -110,6 +111,7 @@
 	f.lastPacket = now
 	if f.opening {
 		f.opening = false
+		t.load.noteAnswered(now)
 		t.addPending(-1, 0)
 		r.noteHandshake(now, f)
 		r.noteFlowAnswer(now, f)
@@ -121,12 +123,14 @@
 		r.noteFlowAnswer(now, f)
 		if f.requestPending {
 			f.requestPending = false
+			t.load.noteAnswered(now)
 			t.addPending(0, -1)
 			r.recordResponseTime(now, f, r.Class(p.Address))
 		}
 	}
 	r.noteData(now, f, t, p)
 	if p.Finish || p.Reset {
+		t.load.occupied.Advance(now)
 		r.removeFlow(k, f)
 	}
 }
@@ -163,6 +167,7 @@
 			f.requestPending, f.sent, f.inFlightAtSend = true, now, t.service.effectiveInFlight()
 			f.retransmitted, f.reported = false, false
 			t.noteSent()
+			t.load.occupied.Advance(now)
 			t.addPending(0, 1)
 			f.awaitAnswer(now)
 		}
--- a/internal/cookie/router/overdue.go
+++ b/internal/cookie/router/overdue.go
@@ -70,6 +70,7 @@
 func (s *service) markOverdue(now time.Time) {
 	overdue := func(p pendingAnswer) {
 		if p.stillPending() {
+			p.target.load.occupied.Advance(now)
 			p.flow.setOverdue(true)
 		}
 	}
@@ -86,7 +87,9 @@
 	f.overdue = overdue
 	if overdue {
 		f.target.service.overdue++
+		f.target.load.occupied.Add(-1)
 	} else {
 		f.target.service.overdue--
+		f.target.load.occupied.Add(1)
 	}
 }
--- a/internal/cookie/router/place.go
+++ b/internal/cookie/router/place.go
@@ -50,6 +50,7 @@
 	service := pickBackend(configured.backends, hash)
 	settled := now.Sub(r.targetsKnownAt) >= settlePeriod || r.settings.Off.Has(mechanism.Settling)
 	if v, rejected := r.checkAdmission(now, service, configured.Route, hash); rejected && settled {
+		r.service(service).load.noteRejected()
 		return v
 	}
 	t := r.choose(now, service, configured.Class)
@@ -71,6 +72,7 @@
 		return r.resetVerdict(t, Unresponsive)
 	}
 	t.takeColdToken(now)
+	t.service.load.noteAdmitted()
 	r.openFlow(now, k, t)
 	return r.forwardVerdict(t, Placed)
 }
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -40,6 +40,7 @@
 	active []*target
 	// responses is a buffer that compareResponseTimes reuses.
 	responses []*response.Tracker
+	load      serviceLoad
 }
 
 // noteSent counts a packet that awaits an answer of the upstream.
@@ -100,6 +101,7 @@
 	t.openings += openings
 	t.requests += requests
 	t.service.inFlight += openings + requests
+	t.load.occupied.Add(openings + requests)
 }
 
 // checkAdmission reports whether a new flow is rejected because the service is overloaded, and
@@ -108,6 +110,7 @@
 	s := r.service(name)
 	s.urgency.Record(now, route.Priority)
 	urgent := s.urgency.Urgent(now, route.Priority)
+	s.load.noteTier(urgent)
 	if v, rejected := r.checkConcurrency(now, name, s, route, urgent); rejected {
 		return v, true
 	}
--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -40,6 +40,7 @@
 	flows    int
 	response response.Tracker
 	zone     *zone
+	load     *zoneLoad
 	recent   packetCounts
 	// coldWindow limits the rate of flows that this balancer sends while the upstream is
 	// cold.
--- a/internal/cookie/router/upstreams.go
+++ b/internal/cookie/router/upstreams.go
@@ -54,6 +54,7 @@
 		// flows, so that all packets with the cookie belong to the earlier one.
 		t.cookieCollision = r.cookies[t.cookie] != nil
 		t.service = r.service(x.Service)
+		t.load = t.service.load.zone(x.Zone)
 		r.targets[x.Incarnation] = t
 		r.zone(x.Zone).refusals.avoidUntil = time.Time{}
 	}
