--- a/internal/zoneload/report/decode.go
+++ b/internal/zoneload/report/decode.go
@@ -130,7 +130,7 @@
 		}
 		s.Occupied[zones[zone]] = figure(n, slotUnit)
 	}
-	for i, n := range w.Rates {
+	for i, n := range w.Rates[:min(len(w.Rates), 2*Tiers)] {
 		if n > maxCount {
 			return Service{}, &DecodeError{Field: "rates"}
 		}
--- a/internal/zoneload/report/encode.go
+++ b/internal/zoneload/report/encode.go
@@ -4,27 +4,21 @@
 	"cmp"
 	"maps"
 	"slices"
-	"sort"
 )
 
 // Encode returns the encoded report, at most MaxSize bytes. If there are more services than
 // MaxServices or than fit, those with the fewest occupied slots are left out and the report is
-// marked as partial. Services whose figures all round to 0 are left out as unused.
+// marked as partial. So is a service in so many zones that there would be more than MaxZones.
+// Services whose figures all round to 0 are left out as unused.
 func (r Report) Encode() ([]byte, error) {
-	zones := newNames(r.Zone)
 	services := ranked(r.Services)
-	for i, s := range services {
-		if !zones.addOccupied(s, MaxZones) {
-			services, r.Partial = slices.Delete(services, i, len(services)), true
-			break
-		}
-	}
-	return largest(min(len(services), MaxServices), func(n int) ([]byte, error) {
+	listed := newNames(r.Zone).withinLimit(services)
+	return largest(min(len(listed), MaxServices), func(n int) ([]byte, error) {
 		zones, names := newNames(r.Zone), newNames()
 		w := wireReport{
 			Origin: origin(r.Origin), Life: r.Life, Sequence: r.Sequence, Age: milliseconds(r.Age), Balancers: count(r.Balancers),
 			Use: quantity(r.Link.Use, useUnit), Delay: milliseconds(r.Link.Delay), Partial: r.Partial || n < len(services),
-			Services: encodeServices(services[:n], zones, names),
+			Services: encodeServices(listed[:n], zones, names),
 		}
 		w.Zones, w.Names = zones.list, names.list
 		return encoder.Marshal(w)
@@ -33,82 +27,163 @@
 
 // Encode returns the encoded answer, at most MaxSize bytes. If there are more services than
 // MaxServices or than fit, those with the fewest slots occupied by all zones are left out of all
-// zones, which are then marked as partial. Zones beyond MaxZones are left out, the oldest first.
+// zones, which are then marked as partial; Split avoids that. Zones beyond MaxZones are left out,
+// the oldest first.
 func (a Answer) Encode() ([]byte, error) {
-	loads := slices.Clone(a.Zones)
-	slices.SortStableFunc(loads, func(x, y Zone) int { return cmp.Compare(x.Age, y.Age) })
-	loads = loads[:min(len(loads), MaxZones)]
-	sum := Report{}
-	for _, z := range loads {
-		sum.Services = addServices(sum, Report{Services: z.Services})
-	}
-	services := ranked(sum.Services)
-	known := newNames()
-	for _, z := range loads {
-		known.index(z.Name)
-	}
-	for i, s := range services {
-		if !known.addOccupied(s, MaxZones) {
-			services = slices.Delete(services, i, len(services))
-			break
-		}
+	a.Zones = slices.Clone(a.Zones)
+	slices.SortStableFunc(a.Zones, func(x, y Zone) int { return cmp.Compare(x.Age, y.Age) })
+	a.Zones = a.Zones[:min(len(a.Zones), MaxZones)]
+	listed := a.zoneNames().withinLimit(a.services())
+	return largest(min(len(listed), MaxServices), func(n int) ([]byte, error) { return a.encode(listed[:n]) })
+}
+
+// Split returns answers that together hold all zones. Each one is encoded with all of its services
+// if possible; only an answer of a single zone may still be too large for that.
+func (a Answer) Split() []Answer {
+	var answers []Answer
+	for rest := a.Zones; len(rest) > 0; {
+		n, _ := searchLargest(len(rest), func(n int) bool { return Answer{Zones: rest[:n]}.fits() })
+		n = max(n, 1)
+		answers, rest = append(answers, Answer{Sequence: a.Sequence, Zones: rest[:n]}), rest[n:]
+	}
+	return answers
+}
+
+// fits reports whether all services fit into one message.
+func (a Answer) fits() bool {
+	services := a.services()
+	if len(a.Zones) > MaxZones || len(services) > MaxServices || len(a.zoneNames().withinLimit(services)) < len(services) {
+		return false
 	}
-	return largest(min(len(services), MaxServices), func(n int) ([]byte, error) {
-		zones, names := newNames(), newNames()
-		w := wireAnswer{Sequence: a.Sequence}
-		kept := make(map[string]bool, n)
-		for _, s := range services[:n] {
-			kept[s.Name] = true
+	b, err := a.encode(services)
+	return err == nil && len(b) <= MaxSize
+}
+
+// services returns the services of all zones, those with the most occupied slots first. Occupied is
+// set to the slots occupied by the callers of all zones; no other figure is set.
+func (a Answer) services() []Service {
+	sums := map[string]map[string]float64{}
+	for _, z := range a.Zones {
+		for _, s := range z.Services {
+			if s.unused() {
+				continue
+			}
+			if sums[s.Name] == nil {
+				sums[s.Name] = make(map[string]float64, len(s.Occupied))
+			}
+			for zone, n := range s.Occupied {
+				sums[s.Name][zone] += n
+			}
 		}
-		for _, z := range loads {
-			listed := ranked(z.Services)
-			shown := slices.DeleteFunc(slices.Clone(listed), func(s Service) bool { return !kept[s.Name] })
-			w.Loads = append(w.Loads, wireZone{
-				Zone: zones.index(z.Name), Age: milliseconds(z.Age), Balancers: count(z.Balancers), Known: count(z.Known),
-				Use: quantity(z.Link.Use, useUnit), Delay: milliseconds(z.Link.Delay), Partial: z.Partial || len(shown) < len(listed),
-				Services: encodeServices(shown, zones, names),
-			})
+	}
+	services := make([]Service, 0, len(sums))
+	for name, occupied := range sums {
+		services = append(services, Service{Name: name, Occupied: occupied})
+	}
+	return sortByTotal(services)
+}
+
+func (a Answer) zoneNames() *names {
+	n := newNames()
+	for _, z := range a.Zones {
+		n.index(z.Name)
+	}
+	return n
+}
+
+// encode returns the encoded answer with the given services only.
+func (a Answer) encode(services []Service) ([]byte, error) {
+	zones, names := newNames(), newNames()
+	for _, s := range services {
+		names.index(s.Name)
+	}
+	w := wireAnswer{Sequence: a.Sequence, Names: names.list, Loads: make([]wireZone, 0, len(a.Zones))}
+	for _, z := range a.Zones {
+		partial := z.Partial
+		listed := make([]Service, 0, len(services))
+		for _, s := range z.Services {
+			if s.unused() {
+				continue
+			}
+			if _, kept := names.indexes[s.Name]; kept {
+				listed = append(listed, s)
+			} else {
+				partial = true
+			}
 		}
-		w.Zones, w.Names = zones.list, names.list
-		return encoder.Marshal(w)
-	})
+		w.Loads = append(w.Loads, wireZone{
+			Zone: zones.index(z.Name), Age: milliseconds(z.Age), Balancers: count(z.Balancers), Known: count(z.Known),
+			Use: quantity(z.Link.Use, useUnit), Delay: milliseconds(z.Link.Delay), Partial: partial,
+			Services: encodeServices(listed, zones, names),
+		})
+	}
+	w.Zones = zones.list
+	return encoder.Marshal(w)
 }
 
 // largest returns the encoding with the most services, up to limit, that does not exceed MaxSize.
 func largest(limit int, encode func(services int) ([]byte, error)) ([]byte, error) {
+	var best []byte
 	var failure error
-	size := 0
-	encoded := func(n int) []byte {
+	_, found := searchLargest(limit, func(n int) bool {
 		b, err := encode(n)
 		if err != nil {
 			failure = err
 		}
-		size = len(b)
-		return b
+		if len(b) > MaxSize {
+			return false
+		}
+		best = b
+		return true
+	})
+	if failure == nil && !found {
+		b, err := encode(0)
+		if err != nil {
+			return nil, err
+		}
+		return nil, &SizeError{Size: len(b)}
 	}
-	if b := encoded(limit); failure != nil || size <= MaxSize {
-		return b, failure
+	return best, failure
+}
+
+// searchLargest returns the largest number up to limit that fits, and false if not even 0 fits. It
+// doubles the number first: what is far too large is never tried.
+func searchLargest(limit int, fits func(int) bool) (int, bool) {
+	if !fits(0) {
+		return 0, false
 	}
-	excess := sort.Search(limit, func(n int) bool { return len(encoded(n)) > MaxSize })
-	if excess == 0 {
-		encoded(0)
-		return nil, &SizeError{Size: size}
+	fitting, next := 0, 1
+	for next <= limit && fits(next) {
+		fitting, next = next, 2*next
 	}
-	return encoded(excess - 1), failure
+	if next > limit {
+		next = limit + 1
+	}
+	for next-fitting > 1 {
+		if middle := (fitting + next) / 2; fits(middle) {
+			fitting = middle
+		} else {
+			next = middle
+		}
+	}
+	return fitting, true
 }
 
 // ranked returns the services with a figure that does not round to 0, those with the most occupied
 // slots first.
 func ranked(services []Service) []Service {
-	used := slices.DeleteFunc(slices.Clone(services), func(s Service) bool { return s.unused() })
-	totals := make(map[string]float64, len(used))
-	for _, s := range used {
+	return sortByTotal(slices.DeleteFunc(slices.Clone(services), Service.unused))
+}
+
+func sortByTotal(services []Service) []Service {
+	totals := make(map[string]float64, len(services))
+	for _, s := range services {
 		totals[s.Name] = s.Total()
 	}
-	slices.SortStableFunc(used, func(x, y Service) int {
+	slices.SortStableFunc(services, func(x, y Service) int {
 		return cmp.Or(cmp.Compare(totals[y.Name], totals[x.Name]), cmp.Compare(x.Name, y.Name))
 	})
-	return used
+	return services
 }
 
 // unused reports whether all figures round to 0.
@@ -129,15 +204,17 @@
 func encodeServices(services []Service, zones, names *names) []wireService {
 	encoded := make([]wireService, 0, len(services))
 	for _, s := range services {
-		w := wireService{Name: names.index(s.Name)}
+		w := wireService{Name: names.index(s.Name), Occupied: make([]uint64, 0, 2*len(s.Occupied)), Rates: make([]uint64, 0, 2*Tiers)}
 		for _, zone := range slices.Sorted(maps.Keys(s.Occupied)) {
 			if n := quantity(s.Occupied[zone], slotUnit); n > 0 {
 				w.Occupied = append(w.Occupied, zones.index(zone), n)
 			}
 		}
-		for tier := range Tiers {
-			w.Rates[tier] = quantity(s.Admitted[tier], rateUnit)
-			w.Rates[Tiers+tier] = quantity(s.Rejected[tier], rateUnit)
+		for _, rate := range slices.Concat(s.Admitted[:], s.Rejected[:]) {
+			w.Rates = append(w.Rates, quantity(rate, rateUnit))
+		}
+		for len(w.Rates) > 0 && w.Rates[len(w.Rates)-1] == 0 {
+			w.Rates = w.Rates[:len(w.Rates)-1]
 		}
 		encoded = append(encoded, w)
 	}
@@ -169,13 +246,24 @@
 	return i
 }
 
-// addOccupied adds the zones in which a service occupies slots, and reports whether there are at
-// most limit names.
-func (n *names) addOccupied(s Service, limit int) bool {
-	for _, zone := range slices.Sorted(maps.Keys(s.Occupied)) {
-		if quantity(s.Occupied[zone], slotUnit) > 0 {
+// withinLimit adds the zones in which the services occupy slots. It returns the services without
+// those whose zones would exceed MaxZones.
+func (n *names) withinLimit(services []Service) []Service {
+	var listed []Service
+	for _, s := range services {
+		var added []string
+		for zone, slots := range s.Occupied {
+			if _, known := n.indexes[zone]; !known && quantity(slots, slotUnit) > 0 {
+				added = append(added, zone)
+			}
+		}
+		if len(n.list)+len(added) > MaxZones {
+			continue
+		}
+		for _, zone := range added {
 			n.index(zone)
 		}
+		listed = append(listed, s)
 	}
-	return len(n.list) <= limit
+	return listed
 }
--- a/internal/zoneload/report/wire.go
+++ b/internal/zoneload/report/wire.go
@@ -87,8 +87,8 @@
 	_        struct{} `cbor:",toarray"`
 	Name     uint64
 	Occupied []uint64
-	// Rates holds the admitted flows by tier, then the rejected ones.
-	Rates [2 * Tiers]uint64
+	// Rates holds the admitted flows by tier, then the rejected ones. Trailing zeros are left out.
+	Rates []uint64
 }
 
 type wireAnswer struct {
@@ -155,14 +155,7 @@
 
 // UnmarshalCBOR decodes a service and ignores further elements.
 func (w *wireService) UnmarshalCBOR(data []byte) error {
-	var rates []uint64
-	if err := decodeArray(data, &w.Name, &w.Occupied, &rates); err != nil {
-		return err
-	}
-	if copy(w.Rates[:], rates) < len(w.Rates) {
-		return errTooShort
-	}
-	return nil
+	return decodeArray(data, &w.Name, &w.Occupied, &w.Rates)
 }
 
 // UnmarshalCBOR decodes an answer and ignores further elements.
