--- a/internal/zoneload/collector/collector.go
+++ b/internal/zoneload/collector/collector.go
@@ -95,26 +95,28 @@
 // Sum returns a balancer's own report with the reports of its followers added. It ignores followers
 // of another zone, whose load the own report cannot name, and a report of the balancer itself.
 func (c *Collector) Sum(now time.Time, own report.Report) report.Report {
+	sum := report.NewSum(own)
 	for _, r := range c.current(now) {
 		if r.Zone == own.Zone && r.Origin != own.Origin {
-			own = own.Plus(r)
+			sum.Add(r)
 		}
 	}
-	return own
+	return sum.Report()
 }
 
 // Zones returns the sums of the reports by zone, sorted by name. The caller sets Known.
 func (c *Collector) Zones(now time.Time) []report.Zone {
-	sums := map[string]report.Report{}
+	sums := map[string]*report.Sum{}
 	for _, r := range c.current(now) {
-		if sum, known := sums[r.Zone]; known {
-			r = sum.Plus(r)
+		if sum := sums[r.Zone]; sum != nil {
+			sum.Add(r)
+		} else {
+			sums[r.Zone] = report.NewSum(r)
 		}
-		sums[r.Zone] = r
 	}
 	zones := make([]report.Zone, 0, len(sums))
 	for _, name := range slices.Sorted(maps.Keys(sums)) {
-		r := sums[name]
+		r := sums[name].Report()
 		zones = append(zones, report.Zone{
 			Name: name, Age: r.Age, Balancers: r.Balancers, Link: r.Link, Partial: r.Partial, Services: r.Services,
 		})
--- a/internal/zoneload/report/report.go
+++ b/internal/zoneload/report/report.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -85,12 +84,9 @@
 // Plus returns the report with the figures of another report of the same zone added. The identity
 // remains that of r.
 func (r Report) Plus(other Report) Report {
-	r.Age = max(r.Age, other.Age)
-	r.Balancers += other.Balancers
-	r.Link = r.Link.busier(other.Link)
-	r.Services = addServices(r, other)
-	r.Partial = r.Partial || other.Partial
-	return r
+	s := NewSum(r)
+	s.Add(other)
+	return s.Report()
 }
 
 func (l Link) busier(other Link) Link {
@@ -99,43 +95,3 @@
 	}
 	return l
 }
-
-// addServices returns the sums of the services of two reports, sorted by name. It leaves out a
-// service that one of the reports may have left out, since its sum is unknown: an incomplete sum
-// would look like free capacity.
-func addServices(a, b Report) []Service {
-	byName := make(map[string]Service, len(a.Services))
-	for _, s := range a.Services {
-		byName[s.Name] = s
-	}
-	sums := make([]Service, 0, max(len(a.Services), len(b.Services)))
-	for _, s := range b.Services {
-		if held, both := byName[s.Name]; both {
-			sums = append(sums, held.plus(s))
-			delete(byName, s.Name)
-		} else if !a.Partial {
-			sums = append(sums, s)
-		}
-	}
-	if !b.Partial {
-		sums = slices.AppendSeq(sums, maps.Values(byName))
-	}
-	slices.SortFunc(sums, func(x, y Service) int { return strings.Compare(x.Name, y.Name) })
-	return sums
-}
-
-// plus returns the sum of two loads of the same service. It does not change the operands, whose
-// maps may be shared.
-func (s Service) plus(other Service) Service {
-	occupied := make(map[string]float64, max(len(s.Occupied), len(other.Occupied)))
-	maps.Copy(occupied, s.Occupied)
-	for zone, n := range other.Occupied {
-		occupied[zone] += n
-	}
-	s.Occupied = occupied
-	for tier := range Tiers {
-		s.Admitted[tier] += other.Admitted[tier]
-		s.Rejected[tier] += other.Rejected[tier]
-	}
-	return s
-}
--- a/internal/zoneload/report/report_test.go
+++ b/internal/zoneload/report/report_test.go
@@ -119,6 +119,34 @@
 	require.Empty(t, report.Answer{}.Split())
 }
 
+// Guards against answers that use up the budget for control traffic of a parent with eight followers,
+// and against a condensed answer with another demand.
+func TestCondensedAnswerKeepsDemand(t *testing.T) {
+	for _, services := range []int{1, 2, 5, 10} {
+		whole, size := largeAnswer(services), 0
+		condensed := whole.Condensed("region-03")
+		parts := condensed.Split()
+		for _, part := range parts {
+			b, err := part.Encode()
+			require.NoError(t, err)
+			size += len(b) + headers
+		}
+		t.Logf("18 zones, %d services, condensed: %d datagrams, %d bytes with headers", services, len(parts), size)
+		require.Equal(t, whole.Sequence, condensed.Sequence)
+		for i, z := range condensed.Zones {
+			if z.Name == "region-03" {
+				require.Equal(t, whole.Zones[i], z)
+			}
+			require.Equal(t, whole.Zones[i].Balancers, z.Balancers)
+			for n, s := range z.Services {
+				require.InDelta(t, whole.Zones[i].Services[n].Total(), s.Total(), 1e-9)
+			}
+		}
+		require.Equal(t, condensed, condensed.Condensed("region-03"))
+		require.Equal(t, largeAnswer(services), whole, "the operand does not change")
+	}
+}
+
 func TestAnswerOfALargeFleetFits(t *testing.T) {
 	for _, services := range []int{1, 2, 3, 40} {
 		b, err := largeAnswer(services).Encode()
--- a/internal/zoneload/snapshot/requests.go
+++ b/internal/zoneload/snapshot/requests.go
@@ -6,7 +6,8 @@
 const maxRequests = 32
 
 // Requests remembers when this balancer sent its reports, so that the age of an answer can count
-// from then, and so that a duplicated or reordered answer is dropped. The zero value has sent none.
+// from then, and so that a reordered answer is dropped. Several answers to one report may be used:
+// a large answer consists of several datagrams, and a duplicated one changes nothing. The zero value has sent none.
 // It is not safe for concurrent use.
 type Requests struct {
 	sent [maxRequests]struct {
@@ -24,11 +25,11 @@
 }
 
 // Answered returns when the report was sent that an answer refers to. It returns false if the
-// answer is to be dropped: the report is unknown, or the same process has answered this report or
-// a later one before.
+// answer is to be dropped: the report is unknown, or the same process has answered a later one
+// before.
 func (q *Requests) Answered(from string, sequence uint64) (time.Time, bool) {
 	x := q.sent[sequence%maxRequests]
-	if x.at.IsZero() || x.sequence != sequence || sequence <= q.answered[from] {
+	if x.at.IsZero() || x.sequence != sequence || sequence < q.answered[from] {
 		return time.Time{}, false
 	}
 	if q.answered == nil || len(q.answered) >= maxRequests {
