--- a/internal/cookie/router/zoneload_internal_test.go
+++ b/internal/cookie/router/zoneload_internal_test.go
@@ -107,6 +107,36 @@
 	require.InDelta(t, 0, s.Admitted[report.Ordinary], 0.1)
 }
 
+// Guards against times without any packet that count as times with a request in flight, and the
+// reverse, where packets are few.
+func TestSingleRequestOccupiesItsSlotFromStartToEnd(t *testing.T) {
+	const handshake, work = 8 * time.Millisecond, 100 * time.Millisecond
+	r := loadRouter(t, 1)
+	offerConstantLoad(r, time.Hour, work, time.Second, 0)
+	at := func(d time.Duration) time.Time { return loadEpoch.Add(2*time.Second + d) }
+	total := func(d time.Duration) float64 { return r.Load(at(d))[0].Total() }
+	p := Packet{Caller: loadCaller(9), Address: loadAddress, Opening: true}
+	p.Cookie = r.Route(at(0), p).Cookie
+	require.Zero(t, total(0), "nothing was in flight before")
+	p.Opening, p.Sequence, p.Length, p.Acknowledged = false, 1, 400, 1
+	r.Route(at(handshake), p)
+	p.Sequence, p.Length, p.Acknowledged = 401, 0, 900
+	r.Route(at(2*handshake+work), p)
+	// The opening and the request were in flight for 116 of 200 ms, 16 of these in transit.
+	require.InDelta(t, 0.5, total(200*time.Millisecond), 1e-9)
+}
+
+// Guards against an overdue request that does not even count for the time before it was overdue.
+func TestOverdueRequestOccupiedItsSlotBefore(t *testing.T) {
+	r := loadRouter(t, 1)
+	p := Packet{Caller: loadCaller(9), Address: loadAddress, Opening: true}
+	p.Cookie = r.Route(loadEpoch, p).Cookie
+	p.Opening, p.Sequence, p.Length, p.Acknowledged = false, 1, 400, 1
+	r.Route(loadEpoch.Add(8*time.Millisecond), p)
+	r.Tick(loadEpoch.Add(308 * time.Millisecond))
+	require.InDelta(t, 1, r.Load(loadEpoch.Add(308 * time.Millisecond))[0].Total(), 1e-9)
+}
+
 // Guards against slots that seem occupied by requests of an upstream that does not answer: such
 // requests are overdue after 300 ms.
 func TestUnansweredRequestsDoNotOccupySlots(t *testing.T) {
--- a/internal/zoneload/collector/collector_test.go
+++ b/internal/zoneload/collector/collector_test.go
@@ -72,6 +72,12 @@
 	require.False(t, c.Add(epoch.Add(2*time.Second), load("follower", 1, 1, 5)), "a late duplicate does not revive it")
 	require.Empty(t, c.Zones(epoch.Add(2*time.Second)))
 	require.True(t, c.Add(epoch.Add(2*time.Second), load("follower", 1, 2, 5)))
+	aging := load("aging", 1, 1, 5)
+	aging.Age = 900 * ms
+	aging.Zone = "b"
+	require.True(t, c.Add(epoch.Add(2*time.Second), aging))
+	require.Len(t, c.Zones(epoch.Add(2*time.Second+100*ms)), 2)
+	require.Len(t, c.Zones(epoch.Add(2*time.Second+101*ms)), 1, "its figures have become too old")
 	old := load("other", 1, 1, 5)
 	old.Age = time.Second + ms
 	require.False(t, c.Add(epoch.Add(2*time.Second), old), "its figures are too old")
--- a/internal/zoneload/occupancy/occupancy.go
+++ b/internal/zoneload/occupancy/occupancy.go
@@ -50,11 +50,10 @@
 
 // complete completes the parts that end at the given time or before, and begins the next one.
 func (o *Occupancy) complete(elapsed time.Duration) {
-	if skipped := (elapsed-o.end)/partLength - parts; skipped > 0 {
-		// None of the skipped parts remains in the window.
+	if first := elapsed.Truncate(partLength) - window; first > o.end {
+		// Parts before the first one of the window need not be completed.
 		o.current = part{}
-		o.end += skipped * partLength
-		o.updated = o.end - partLength
+		o.updated, o.end = first, first+partLength
 	}
 	for elapsed >= o.end {
 		o.current.area += time.Duration(o.inFlight) * (o.end - o.updated)
--- a/internal/zoneload/occupancy/occupancy_test.go
+++ b/internal/zoneload/occupancy/occupancy_test.go
@@ -86,7 +86,7 @@
 		}
 		end := at + time.Duration(rapid.IntRange(1, 400_000).Draw(t, "last µs"))*time.Microsecond
 		const part = 50 * time.Millisecond
-		from := max(end/part*part-4*part, 0)
+		from := max(end.Truncate(part)-4*part, 0)
 		area := time.Duration(0)
 		for i, c := range changes {
 			until := end
--- a/internal/zoneload/report/decode.go
+++ b/internal/zoneload/report/decode.go
@@ -8,7 +8,7 @@
 	if err := decode(data, &w); err != nil {
 		return Report{}, err
 	}
-	if !distinct(w.Zones, MaxZones) || len(w.Zones) == 0 || !distinct(w.Names, MaxServices) {
+	if !distinct(w.Zones) || len(w.Zones) == 0 || !distinct(w.Names) {
 		return Report{}, &DecodeError{Field: "names"}
 	}
 	if w.Origin == "" || len(w.Origin) > maxName {
@@ -16,14 +16,12 @@
 	}
 	r := Report{
 		Origin: string(w.Origin), Life: w.Life, Sequence: w.Sequence, Zone: w.Zones[0], Partial: w.Partial,
-		Balancers: int(min(w.Balancers, maxCount)), Link: Link{Use: figure(w.Use, useUnit)},
+		Age: duration(w.Age), Balancers: int(min(w.Balancers, maxCount)), Link: Link{Use: figure(w.Use, useUnit), Delay: duration(w.Delay)},
 	}
-	ageValid, delayValid, err := false, false, error(nil)
-	r.Age, ageValid = duration(w.Age)
-	r.Link.Delay, delayValid = duration(w.Delay)
-	if !ageValid || !delayValid || w.Balancers == 0 || w.Balancers > maxCount || w.Use > maxCount {
+	if !validFigures(w.Age, w.Delay, w.Use, w.Balancers) {
 		return Report{}, &DecodeError{Field: "figures"}
 	}
+	var err error
 	if r.Services, err = decodeServices(w.Services, w.Zones, w.Names); err != nil {
 		return Report{}, err
 	}
@@ -36,7 +34,7 @@
 	if err := decode(data, &w); err != nil {
 		return Answer{}, err
 	}
-	if !distinct(w.Zones, MaxZones) || !distinct(w.Names, MaxServices) {
+	if !distinct(w.Zones) || !distinct(w.Names) {
 		return Answer{}, &DecodeError{Field: "names"}
 	}
 	a := Answer{Sequence: w.Sequence}
@@ -58,14 +56,12 @@
 func decodeZone(w wireZone, zones, names []string) (Zone, error) {
 	z := Zone{
 		Name: zones[w.Zone], Partial: w.Partial, Balancers: int(min(w.Balancers, maxCount)), Known: int(min(w.Known, maxCount)),
-		Link: Link{Use: figure(w.Use, useUnit)},
+		Age: duration(w.Age), Link: Link{Use: figure(w.Use, useUnit), Delay: duration(w.Delay)},
 	}
-	ageValid, delayValid, err := false, false, error(nil)
-	z.Age, ageValid = duration(w.Age)
-	z.Link.Delay, delayValid = duration(w.Delay)
-	if !ageValid || !delayValid || w.Balancers == 0 || max(w.Balancers, w.Known, w.Use) > maxCount {
+	if !validFigures(w.Age, w.Delay, w.Use, w.Balancers) || w.Known > maxCount {
 		return Zone{}, &DecodeError{Field: "figures"}
 	}
+	var err error
 	if z.Services, err = decodeServices(w.Services, zones, names); err != nil {
 		return Zone{}, err
 	}
@@ -74,6 +70,11 @@
 
 var errTooLong = errors.New("more than the maximum size")
 
+// validFigures reports whether the figures of a report or zone are within their bounds.
+func validFigures(age, delay, use, balancers uint64) bool {
+	return max(age, delay) <= maxMilliseconds && use <= maxCount && balancers > 0 && balancers <= maxCount
+}
+
 // decode decodes a whole message.
 func decode(data []byte, w any) error {
 	if len(data) > MaxSize {
@@ -85,8 +86,8 @@
 	return nil
 }
 
-// distinct reports whether a list has at most limit valid names, none of them twice.
-func distinct(list []string, limit int) bool {
+// distinct reports whether a list has at most maxNames valid names, none of them twice.
+func distinct(list []string) bool {
 	seen := make(map[string]bool, len(list))
 	for _, name := range list {
 		if len(name) > maxName || seen[name] {
@@ -94,7 +95,7 @@
 		}
 		seen[name] = true
 	}
-	return len(list) <= limit
+	return len(list) <= maxNames
 }
 
 func decodeServices(encoded []wireService, zones, names []string) ([]Service, error) {
--- a/internal/zoneload/report/wire.go
+++ b/internal/zoneload/report/wire.go
@@ -18,11 +18,13 @@
 	// of the kind and the signature.
 	MaxSize = maxDatagram - 1 - seal.Size
 	// MaxServices and MaxZones are the maximum numbers in one message.
-	MaxServices, MaxZones = 32, 32
+	MaxServices, MaxZones = maxNames, maxNames
+	maxNames              = 32
 	// maxName is the maximum length of a name, so that one name cannot fill a datagram.
 	maxName = 128
 	// maxAge bounds ages and delays on the wire; figures that old are of no use.
-	maxAge = time.Minute
+	maxAge          = time.Minute
+	maxMilliseconds = uint64(maxAge / time.Millisecond)
 	// maxCount bounds numbers of balancers and the integers that figures are rounded to, so that
 	// sums of thousands of reports do not overflow.
 	maxCount = math.MaxInt32
@@ -184,6 +186,6 @@
 	return uint64((d + time.Millisecond - 1) / time.Millisecond)
 }
 
-func duration(ms uint64) (time.Duration, bool) {
-	return time.Duration(min(ms, uint64(maxAge/time.Millisecond))) * time.Millisecond, ms <= uint64(maxAge/time.Millisecond)
+func duration(ms uint64) time.Duration {
+	return time.Duration(min(ms, maxMilliseconds)) * time.Millisecond
 }
