--- a/internal/cookie/router/zoneload_internal_test.go
+++ b/internal/cookie/router/zoneload_internal_test.go
@@ -126,6 +126,21 @@
 	require.InDelta(t, 0.5, total(200*time.Millisecond), 1e-9)
 }
 
+// Guards against a request on an idle flow that counts from the last packet before it, and against
+// one whose caller gives up that does not count at all.
+func TestAbandonedRequestOccupiedItsSlot(t *testing.T) {
+	r := loadRouter(t, 1)
+	p := Packet{Caller: loadCaller(9), Address: loadAddress, Opening: true}
+	p.Cookie = r.Route(loadEpoch, p).Cookie
+	p.Opening, p.Sequence, p.Acknowledged = false, 1, 1
+	r.Route(loadEpoch.Add(8*time.Millisecond), p)
+	p.Length = 400
+	r.Route(loadEpoch.Add(1050*time.Millisecond), p)
+	p.Sequence, p.Length, p.Finish = 401, 0, true
+	r.Route(loadEpoch.Add(1150*time.Millisecond), p)
+	require.InDelta(t, 0.5, r.Load(loadEpoch.Add(1200 * time.Millisecond))[0].Total(), 1e-9)
+}
+
 // Guards against an overdue request that does not even count for the time before it was overdue.
 func TestOverdueRequestOccupiedItsSlotBefore(t *testing.T) {
 	r := loadRouter(t, 1)
