--- a/internal/zoneload/occupancy/occupancy.go
+++ b/internal/zoneload/occupancy/occupancy.go
@@ -35,7 +35,7 @@
 // Advance integrates the requests in flight up to the present time. It must precede Add, otherwise
 // the change counts from the last update on.
 func (o *Occupancy) Advance(now time.Time) {
-	if o.start.IsZero() {
+	if o.end == 0 {
 		o.start, o.end = now, partLength
 	}
 	elapsed := now.Sub(o.start)
