--- /dev/null
+++ b/internal/overload/zoneadmission/zoneadmission_test.go
@@ -0,0 +1,172 @@
+package zoneadmission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"wasabideal/internal/overload/zoneadmission"
+)
+
+func TestLimits(t *testing.T) {
+	const work = 20 * time.Millisecond
+	for _, c := range []struct {
+		name  string
+		flow  zoneadmission.Flow
+		limit float64
+	}{
+		{"a quarter of the objective", zoneadmission.Flow{Objective: 5 * work, Work: work}, 2.25},
+		{"half of an urgent objective", zoneadmission.Flow{Objective: 5 * work, Work: work, Urgent: true}, 3.5},
+		{"short objective", zoneadmission.Flow{Objective: work, Work: work}, 1.5},
+		{"short urgent objective", zoneadmission.Flow{Objective: work, Work: work, Urgent: true}, 2},
+		{"long objective", zoneadmission.Flow{Objective: time.Second, Work: work}, 3},
+		{"long urgent objective", zoneadmission.Flow{Objective: time.Second, Work: work, Urgent: true}, 5},
+		{"no objective", zoneadmission.Flow{Work: work}, 3},
+		{"unknown work", zoneadmission.Flow{Objective: work, Urgent: true}, 5},
+		{"longer objective than urgent flows", zoneadmission.Flow{Objective: time.Second, Work: work, UrgentObjective: 3 * work}, 2},
+	} {
+		d := zoneadmission.Decide(epoch, zoneadmission.Load{Occupied: 100, Slots: 100}, c.flow)
+		require.InDelta(t, c.limit, d.Limit, 1e-9, c.name)
+		require.True(t, d.Admitted, c.name)
+	}
+}
+
+func drawLoad(t *rapid.T) zoneadmission.Load {
+	return zoneadmission.Load{
+		Occupied: rapid.Float64Range(0, 5000).Draw(t, "occupied"), Slots: rapid.Float64Range(1, 5000).Draw(t, "slots"),
+		InFlightThen: rapid.Float64Range(0, 500).Draw(t, "then"), InFlight: rapid.Float64Range(0, 500).Draw(t, "now"),
+	}
+}
+
+func drawDuration(t *rapid.T, name string) time.Duration {
+	return time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, name))
+}
+
+// Guards against rejections while half of the slots are free, and against urgent flows that are
+// rejected while ordinary ones are admitted: both tiers with any objectives, at any load.
+func TestUrgentFlowsAreRejectedLast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		load, work, urgentObjective := drawLoad(t), drawDuration(t, "work"), drawDuration(t, "urgent objective")
+		wall, caller := epoch.Add(drawDuration(t, "wall")), rapid.Uint64().Draw(t, "caller")
+		urgent := zoneadmission.Decide(wall, load, zoneadmission.Flow{Objective: urgentObjective, UrgentObjective: urgentObjective, Work: work, Urgent: true, Caller: caller})
+		ordinary := zoneadmission.Decide(wall, load, zoneadmission.Flow{
+			Objective: drawDuration(t, "objective"), UrgentObjective: urgentObjective, Work: work, Caller: caller,
+		})
+		if urgent.RejectedShare > 0 {
+			require.Equal(t, 1.0, ordinary.RejectedShare)
+			require.False(t, ordinary.Admitted)
+		}
+		for _, d := range []zoneadmission.Decision{urgent, ordinary} {
+			if d.Use < 1.2 {
+				require.True(t, d.Admitted, "slots are free or no queue has formed")
+			}
+			if !d.Admitted {
+				require.Positive(t, d.RejectedShare)
+				require.LessOrEqual(t, d.Limit, 5.0)
+				require.GreaterOrEqual(t, d.Limit, 1.5)
+			}
+		}
+	})
+}
+
+// Guards against a growth that outweighs the view: a balancer's few requests must neither hide a
+// load nor invent one.
+func TestUseStaysNearTheView(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		load := drawLoad(t)
+		view := load.Occupied / load.Slots
+		require.GreaterOrEqual(t, load.Use(), 0.5*view)
+		require.LessOrEqual(t, load.Use(), 3*view)
+		more := load
+		more.InFlight++
+		require.GreaterOrEqual(t, more.Use(), load.Use())
+	})
+}
+
+// Guards against a rejected share of callers, or of a caller's tries over time, that differs from
+// the one intended, wherever the caller is.
+func TestEachCallerIsRejectedForItsShareOfTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		use := rapid.Float64Range(2.4, 3).Draw(t, "use")
+		caller := rapid.Uint64().Draw(t, "caller")
+		rejected, share := 0, 0.0
+		const steps = 3000
+		for i := range steps {
+			d := zoneadmission.Decide(epoch.Add(time.Duration(i)*time.Millisecond), zoneadmission.Load{Occupied: use, Slots: 1}, zoneadmission.Flow{Caller: caller})
+			share = d.RejectedShare
+			if !d.Admitted {
+				rejected++
+			}
+		}
+		require.InDelta(t, share, float64(rejected)/steps, 0.01)
+	})
+	for _, share := range []float64{0.1, 0.5, 0.9} {
+		rejected := 0
+		const callers = 10_000
+		for i := range callers {
+			f := zoneadmission.Flow{Caller: xxhash.Sum64([]byte{100, 64, byte(i >> 8), byte(i)})}
+			if !zoneadmission.Decide(epoch, zoneadmission.Load{Occupied: 2.4 + 0.6*share, Slots: 1}, f).Admitted {
+				rejected++
+			}
+		}
+		require.InDelta(t, share, float64(rejected)/callers, 0.02)
+	}
+}
+
+// Guards against a growth that compares the present with the wrong time: a constant number is its
+// own mean at any time, and times before and after a step give the numbers before and after it.
+func TestHistory(t *testing.T) {
+	var h zoneadmission.History
+	_, known := h.Mean(epoch)
+	require.False(t, known)
+	for i := range 100 {
+		n := 4
+		if i >= 50 {
+			n = 12
+		}
+		h.Record(epoch.Add(time.Duration(i)*20*time.Millisecond), n)
+	}
+	step := epoch.Add(time.Second)
+	for _, c := range []struct {
+		after time.Duration
+		mean  float64
+	}{{0, 4}, {100 * time.Millisecond, 8}, {200 * time.Millisecond, 12}, {990 * time.Millisecond, 12}, {5 * time.Second, 12}} {
+		mean, known := h.Mean(step.Add(c.after))
+		require.True(t, known)
+		require.InDelta(t, c.mean, mean, 0.001, "%v after the step", c.after)
+	}
+	_, known = h.Mean(epoch)
+	require.False(t, known, "the first samples are overwritten")
+}
+
+// Guards against means outside of the recorded numbers, for samples and views at any times.
+func TestHistoryMeanIsWithinItsSamples(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h zoneadmission.History
+		now, least, most := epoch, 1<<30, 0
+		for range rapid.IntRange(1, 200).Draw(t, "samples") {
+			now = now.Add(time.Duration(rapid.IntRange(20, 120).Draw(t, "interval")) * time.Millisecond)
+			n := rapid.IntRange(0, 100).Draw(t, "in flight")
+			least, most = min(least, n), max(most, n)
+			h.Record(now, n)
+		}
+		age := time.Duration(rapid.IntRange(0, 1500).Draw(t, "age")) * time.Millisecond
+		if mean, known := h.Mean(now.Add(-age)); known {
+			require.GreaterOrEqual(t, mean, float64(least)-1e-9)
+			require.LessOrEqual(t, mean, float64(most)+1e-9)
+		}
+	})
+}
+
+func BenchmarkDecide(b *testing.B) {
+	f := zoneadmission.Flow{Objective: 400 * time.Millisecond, UrgentObjective: 400 * time.Millisecond, Work: 20 * time.Millisecond}
+	l := zoneadmission.Load{Occupied: 270, Slots: 100, InFlightThen: 7.5, InFlight: 8}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		f.Caller = uint64(n)
+		zoneadmission.Decide(epoch, l, f)
+	}
+}
