--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -189,6 +189,7 @@
 	r.compareResponseTimes(now)
 	for _, s := range r.services {
 		s.markOverdue(now)
+		r.recordInFlight(now, s)
 	}
 	r.detectAbandoned(now)
 	for _, z := range r.zones {
--- a/internal/cookie/router/load.go
+++ b/internal/cookie/router/load.go
@@ -6,5 +6,12 @@
 	"wasabideal/internal/zoneload/snapshot"
 )
 
-// SetLoad sets the latest view of the load of all zones.
-func (r *Router) SetLoad(_ time.Time, s snapshot.Snapshot) { r.zoneLoad = s }
+// SetLoad sets the latest view of the load of all zones. An older view than the one in force is
+// ignored.
+func (r *Router) SetLoad(_ time.Time, s snapshot.Snapshot) {
+	if s.Version < r.zoneLoad.Version {
+		return
+	}
+	r.zoneLoad = s
+	r.zoneLoadUpdates++
+}
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -89,7 +89,7 @@
 	// upload.
 	Waiting
 	// Overloaded means that the service's predicted response time is too long for the route's
-	// objective, or that the service has reached its concurrency limit.
+	// objective, or that the service has reached its concurrency limit or its limit of use.
 	Overloaded
 	// Unresponsive means that the voters confirmed their suspicion of the upstream or its zone.
 	Unresponsive
@@ -140,4 +140,11 @@
 	// Limit is the concurrency limit that UnderWay has reached, 0 if the flow is not rejected for
 	// this limit.
 	Limit int
+	// Use is the service's occupied slots per slot, and SlotLimit the use from which all flows like
+	// this one are rejected. Both are 0 if the flow is not rejected by the load of all zones.
+	Use, SlotLimit float64
+	// LoadVersion and LoadAge identify the view of the load of all zones that decided, 0 if none
+	// did.
+	LoadVersion uint64
+	LoadAge     time.Duration
 }
--- a/internal/cookie/router/place.go
+++ b/internal/cookie/router/place.go
@@ -49,7 +49,7 @@
 	hash := k.callerHash()
 	service := pickBackend(configured.backends, hash)
 	settled := now.Sub(r.targetsKnownAt) >= settlePeriod || r.settings.Off.Has(mechanism.Settling)
-	if v, rejected := r.checkAdmission(now, service, configured.Route, hash); rejected && settled {
+	if v, rejected := r.checkAdmission(now, service, configured.Route, k, hash); rejected && settled {
 		return v
 	}
 	t := r.choose(now, service, configured.Class)
@@ -83,6 +83,13 @@
 	return xxhash.Sum64(b[:])
 }
 
+// addressHash returns a hash of the caller's IP address, which stays the same when the caller
+// retries from another port.
+func (k Flow) addressHash() uint64 {
+	a := k.Caller.Addr().As4()
+	return xxhash.Sum64(a[:])
+}
+
 // noteRetransmission records a retransmitted opening or request. The local suspicion keeps
 // new flows off the upstream even if no voter is reachable.
 func (r *Router) noteRetransmission(now time.Time, address netip.AddrPort, f *flow) {
--- a/internal/cookie/router/pool.go
+++ b/internal/cookie/router/pool.go
@@ -24,14 +24,19 @@
 	// slots is the number of requests that the upstreams in localZone and remoteZone process
 	// concurrently.
 	slots int
+	// zoneSlots holds these slots by availability zone. changes rises with each change of them.
+	zoneSlots map[string]int
+	changes   uint64
 }
 
-// position is the location of an upstream in its pool, and the slots that it adds to the pool's.
+// position is the location of an upstream in its pool, and the slots that it adds to those of the
+// pool and of its zone.
 type position struct {
 	pool  *pool
 	list  poolList
 	index int
 	slots int
+	zone  string
 }
 
 // local and remote return the upstreams that may get new flows.
@@ -44,16 +49,25 @@
 	if to == localZone || to == remoteZone {
 		slots = max(int(t.Slots), 1)
 	}
-	if t.position == (position{pool: p, list: to, index: t.position.index, slots: slots}) {
+	if t.position == (position{pool: p, list: to, index: t.position.index, slots: slots, zone: t.Zone}) {
 		return
 	}
 	t.removeFromPool()
 	if to == excluded {
 		return
 	}
-	t.position = position{pool: p, list: to, index: len(p.lists[to]), slots: slots}
+	t.position = position{pool: p, list: to, index: len(p.lists[to]), slots: slots, zone: t.Zone}
 	p.lists[to] = append(p.lists[to], t)
-	p.slots += slots
+	p.addSlots(t.Zone, slots)
+}
+
+// addSlots adds to the slots of a zone and of the pool.
+func (p *pool) addSlots(zone string, slots int) {
+	if slots != 0 {
+		p.slots += slots
+		p.zoneSlots[zone] += slots
+		p.changes++
+	}
 }
 
 // removeFromPool removes an upstream from its list by swapping it with the last entry.
@@ -68,7 +82,7 @@
 	list[current.index].position.index = current.index
 	list[last] = nil
 	current.pool.lists[current.list] = list[:last]
-	current.pool.slots -= current.slots
+	current.pool.addSlots(current.zone, -current.slots)
 	t.position = position{}
 }
 
@@ -78,7 +92,7 @@
 func (r *Router) pool(service string) *pool {
 	p := r.pools[service]
 	if p == nil {
-		p = &pool{}
+		p = &pool{zoneSlots: map[string]int{}}
 		r.pools[service] = p
 	}
 	return p
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -82,6 +82,8 @@
 	evacuations evacuation.Evacuations
 	// zoneLoad is the latest view of the load of all zones; its zero value knows none.
 	zoneLoad snapshot.Snapshot
+	// zoneLoadUpdates counts the views that were set.
+	zoneLoadUpdates uint64
 	// recentHandshakes and handshakes hold the durations of handshakes without a retransmission.
 	// The shortest recent one exceeds the shortest of all by the queueing delay of the VM's link.
 	recentHandshakes, handshakes *minimum.Window
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -33,6 +33,8 @@
 	concurrency concurrency.InFlightAverage
 	// urgency determines which priorities are the most urgent among recent flows.
 	urgency urgency.Urgency
+	// zoneUse is the load by callers of all zones.
+	zoneUse zoneUse
 	// medianResponseTime is the median over the upstreams, 0 if unknown.
 	medianResponseTime time.Duration
 	// active are the upstreams with recent packets. Only these are processed ten times a
@@ -103,12 +105,19 @@
 }
 
 // checkAdmission reports whether a new flow is rejected because the service is overloaded, and
-// returns the verdict if so. The hash is that of the flow's caller.
-func (r *Router) checkAdmission(now time.Time, name string, route configuration.Route, hash uint64) (Verdict, bool) {
+// returns the verdict if so.
+func (r *Router) checkAdmission(now time.Time, name string, route configuration.Route, k Flow, hash uint64) (Verdict, bool) {
 	s := r.service(name)
 	s.urgency.Record(now, route.Priority)
 	urgent := s.urgency.Urgent(now, route.Priority)
-	if v, rejected := r.checkConcurrency(now, name, s, route, urgent); rejected {
+	v, rejected := r.checkConcurrency(now, name, s, route, urgent)
+	if r.updateZoneUse(now, name, s) {
+		var idle bool
+		if v, rejected, idle = r.checkZoneUse(now, s, route, k, urgent); idle {
+			return Verdict{}, false
+		}
+	}
+	if rejected {
 		return v, true
 	}
 	if r.settings.Off.Has(mechanism.Admission) {
--- /dev/null
+++ b/internal/cookie/router/zoneadmission_test.go
@@ -0,0 +1,298 @@
+package router_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"wasabideal/internal/cookie/mechanism"
+	"wasabideal/internal/cookie/router"
+	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/upstream/view"
+	"wasabideal/internal/zoneload/snapshot"
+)
+
+// loadView returns a view in which the callers of each zone occupy slots of the service orders, by
+// zone of the upstreams.
+func loadView(version uint64, measured time.Time, occupied map[string]map[string]float64) snapshot.Snapshot {
+	s := snapshot.Snapshot{Version: version, Zones: map[string]snapshot.Zone{}}
+	for zone, x := range occupied {
+		s.Zones[zone] = snapshot.Zone{Measured: measured, Balancers: 1, Services: map[string]snapshot.Service{"orders": {Occupied: x}}}
+	}
+	return s
+}
+
+// localLoad returns a view of zone "a" alone.
+func localLoad(version uint64, measured time.Time, occupied float64) snapshot.Snapshot {
+	return loadView(version, measured, map[string]map[string]float64{"a": {"a": occupied}})
+}
+
+// admissionRouter returns a router with two upstreams of two slots in each of zones a and b. Orders
+// are ordinary, since notes of a better priority are in demand.
+func admissionRouter(t require.TestingT, off mechanism.Off) *router.Router {
+	r := router.New(router.Settings{Zone: "a", Off: off})
+	require.NoError(t, r.Configure(configuration.Configuration{Revision: 1, Routes: []configuration.Route{
+		{Name: "orders", Address: orders, Service: "orders", Objective: 400 * time.Millisecond, Priority: 2},
+		{Name: "urgent", Address: notes, Service: "orders", Objective: 400 * time.Millisecond, Priority: 1},
+	}}))
+	r.SetTargets(epoch.Add(-time.Minute), []view.Target{
+		target(1, "orders", "a"), target(2, "orders", "a"), target(3, "orders", "b"), target(4, "orders", "b"),
+	})
+	return r
+}
+
+// open sends an urgent and an ordinary opening of new callers, resets both flows, and returns the
+// verdicts.
+func open(r *router.Router, now time.Time, n int) (urgent, ordinary router.Verdict) {
+	first := func(address netip.AddrPort) router.Verdict {
+		p := router.Packet{Caller: caller(n), Address: address, Opening: true}
+		v := r.Route(now, p)
+		if v.Action == router.Forward {
+			r.Route(now, router.Packet{Caller: p.Caller, Address: address, Cookie: v.Cookie, Reset: true})
+		}
+		return v
+	}
+	return first(notes), first(orders)
+}
+
+// Guards against limits that ignore the load of other balancers, and verdicts that do not show what
+// decided.
+func TestLoadOfAllZonesRejectsFlows(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		occupied         map[string]map[string]float64
+		urgent, ordinary bool
+	}{
+		{"short queues", map[string]map[string]float64{"a": {"a": 8}, "b": {"b": 8}}, true, true},
+		{"callers of one zone at another", map[string]map[string]float64{"a": {"a": 4, "b": 12}, "b": {"b": 12}}, true, false},
+		{"full queues", map[string]map[string]float64{"a": {"a": 20}, "b": {"b": 20}}, false, false},
+		{"zone without an entry counts neither way", map[string]map[string]float64{"a": {"a": 8, "b": 100}}, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := admissionRouter(t, 0)
+			open(r, epoch, 0)
+			r.SetLoad(epoch, loadView(7, epoch.Add(-200*time.Millisecond), c.occupied))
+			urgent, ordinary := open(r, epoch, 1)
+			require.Equal(t, c.urgent, urgent.Action == router.Forward)
+			require.Equal(t, c.ordinary, ordinary.Action == router.Forward)
+			if !c.ordinary {
+				require.Equal(t, router.Overloaded, ordinary.Reason)
+				require.Equal(t, router.Reset, ordinary.Action)
+				require.Equal(t, 3.0, ordinary.SlotLimit)
+				require.GreaterOrEqual(t, ordinary.Use, 3.0)
+				require.Equal(t, uint64(7), ordinary.LoadVersion)
+				require.Equal(t, 200*time.Millisecond, ordinary.LoadAge)
+				require.Zero(t, ordinary.Limit)
+			}
+		})
+	}
+}
+
+// Guards against decisions by a view that is too old, that a newer one has replaced, or that is
+// switched off.
+func TestOnlyTheLatestFreshViewDecides(t *testing.T) {
+	full, empty := 20.0, 0.0
+	r := admissionRouter(t, 0)
+	rejects := func(now time.Time) bool {
+		_, ordinary := open(r, now, 1)
+		return ordinary.Action != router.Forward
+	}
+	rejects(epoch)
+	r.SetLoad(epoch, localLoad(2, epoch, full))
+	require.True(t, rejects(epoch))
+	require.True(t, rejects(epoch.Add(snapshot.MaxAge)))
+	require.False(t, rejects(epoch.Add(snapshot.MaxAge+time.Millisecond)), "the view is too old")
+	now := epoch.Add(2 * time.Second)
+	r.SetLoad(now, localLoad(4, now, full))
+	r.SetLoad(now, localLoad(3, now, empty))
+	require.True(t, rejects(now), "an older view changes nothing")
+	r.SetLoad(now, localLoad(5, now, empty))
+	require.False(t, rejects(now), "a view without load admits all flows at once")
+	r.SetLoad(now, loadView(6, now, map[string]map[string]float64{"b": {"b": full}}))
+	require.False(t, rejects(now), "the view has no entry of the own zone")
+
+	off, err := mechanism.Parse("ZoneAdmission")
+	require.NoError(t, err)
+	r = admissionRouter(t, off)
+	rejects(epoch)
+	r.SetLoad(epoch, localLoad(1, epoch, full))
+	require.False(t, rejects(epoch))
+}
+
+// Guards against a use that counts the slots of an evacuated zone, or what open flows still occupy
+// there.
+func TestEvacuatedSlotsDoNotCount(t *testing.T) {
+	r := admissionRouter(t, 0)
+	open(r, epoch, 0)
+	r.SetLoad(epoch, loadView(1, epoch, map[string]map[string]float64{"a": {"a": 7}, "b": {"b": 7}}))
+	_, ordinary := open(r, epoch, 1)
+	require.Equal(t, router.Forward, ordinary.Action)
+	r.SetLoad(epoch, loadView(2, epoch, map[string]map[string]float64{"a": {"a": 14}, "b": {}}))
+	_, ordinary = open(r, epoch, 2)
+	require.Equal(t, router.Forward, ordinary.Action)
+	r.Evacuate(epoch, evacuate("b"))
+	_, ordinary = open(r, epoch, 3)
+	require.Equal(t, router.Overloaded, ordinary.Reason, "14 occupied of 4 slots")
+	r.SetLoad(epoch, loadView(3, epoch, map[string]map[string]float64{"a": {"a": 4, "b": 20}, "b": {"b": 20}}))
+	_, ordinary = open(r, epoch, 4)
+	require.Equal(t, router.Forward, ordinary.Action)
+}
+
+// Guards against rejections while half of the slots of all zones are free: the limit of each balancer
+// used to reject callers of the zone with the highest load per balancer, and slow responses of a few
+// upstreams those of any zone.
+func TestNothingIsRejectedBelowHalfUse(t *testing.T) {
+	for _, fresh := range []bool{false, true} {
+		r := admissionRouter(t, 0)
+		r.SetBalancers(30)
+		rejected := 0
+		for i := range 400 {
+			now := epoch.Add(time.Duration(i) * 10 * time.Millisecond)
+			if fresh && i%5 == 0 {
+				r.SetLoad(now, loadView(uint64(i+1), now.Add(-100*time.Millisecond), map[string]map[string]float64{"a": {"a": 1}, "b": {"b": 0.3}}))
+			}
+			for k := range 2 {
+				if r.Route(now, opening(1000+2*i+k)).Reason == router.Overloaded {
+					rejected++
+				}
+			}
+			if i%10 == 0 {
+				r.Tick(now)
+			}
+		}
+		if fresh {
+			require.Zero(t, rejected)
+		} else {
+			require.Positive(t, rejected, "the limit of this balancer is reached")
+		}
+	}
+}
+
+// Guards against a caller whose retry from another port is rejected by another draw of its share.
+func TestRetryFromAnotherPortIsDecidedByItsAddress(t *testing.T) {
+	r := admissionRouter(t, 0)
+	open(r, epoch, 0)
+	r.SetLoad(epoch, loadView(1, epoch, map[string]map[string]float64{"a": {"a": 10.8}, "b": {"b": 10.8}}))
+	rejected := 0
+	for n := range 200 {
+		open(r, epoch, 1000+n) // keeps the better priority in demand
+		var first router.Verdict
+		for port := range uint16(3) {
+			p := router.Packet{Caller: netip.AddrPortFrom(caller(n).Addr(), 40000+port), Address: orders, Opening: true}
+			v := r.Route(epoch, p)
+			if v.Action == router.Forward {
+				r.Route(epoch, router.Packet{Caller: p.Caller, Address: orders, Cookie: v.Cookie, Reset: true})
+			}
+			if port == 0 {
+				first = v
+			}
+			require.Equal(t, first.Reason, v.Reason)
+		}
+		if first.Reason == router.Overloaded {
+			rejected++
+		}
+	}
+	require.InDelta(t, 100, rejected, 35, "half of the callers are rejected at 0.9 of the limit")
+}
+
+// Guards against decisions that differ from those without shared load while no fresh view is known,
+// also in the middle of a burst after views were lost: limits that were not kept up to date
+// meanwhile would reject too much or too little.
+func TestDecisionsWithoutAFreshViewAreUnchanged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		off, err := mechanism.Parse("ZoneAdmission")
+		require.NoError(t, err)
+		with, without := admissionRouter(t, 0), admissionRouter(t, off)
+		balancers := rapid.IntRange(1, 5).Draw(t, "balancers")
+		with.SetBalancers(balancers)
+		without.SetBalancers(balancers)
+		now, latest := epoch, epoch.Add(-time.Hour)
+		for n := range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * time.Millisecond)
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				with.Tick(now)
+				without.Tick(now)
+			case 1:
+				measured := now.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * time.Millisecond)
+				// Below half use both routers admit the same flows, unless the limit rejects.
+				s := localLoad(uint64(n), measured, 6)
+				with.SetLoad(now, s)
+				without.SetLoad(now, s)
+				latest = measured
+			default:
+				fresh := now.Sub(latest) <= snapshot.MaxAge
+				a, b := with.Route(now, opening(n)), without.Route(now, opening(n))
+				if !fresh {
+					require.Equal(t, b, a)
+				}
+				if a.Action != b.Action {
+					// The routers' flows differ from here on.
+					return
+				}
+				if a.Action == router.Forward && rapid.Bool().Draw(t, "close") {
+					p := router.Packet{Caller: caller(n), Address: orders, Cookie: a.Cookie, Reset: true}
+					with.Route(now, p)
+					without.Route(now, p)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a lasting effect of views that are lost in the middle of a burst: decisions are
+// those of this balancer alone then, and by the load of all zones again with the next view.
+func TestViewLostInABurst(t *testing.T) {
+	r := admissionRouter(t, 0)
+	open(r, epoch, 0)
+	count := func(from time.Time, views bool) (rejected int) {
+		for i := range 100 {
+			now := from.Add(time.Duration(i) * 20 * time.Millisecond)
+			if views && i%5 == 0 {
+				r.SetLoad(now, localLoad(uint64(now.Sub(epoch)/time.Millisecond)+1, now.Add(-100*time.Millisecond), 40))
+			}
+			if _, ordinary := open(r, now, i); ordinary.Reason == router.Overloaded {
+				rejected++
+			}
+		}
+		return rejected
+	}
+	require.Equal(t, 100, count(epoch, true))
+	lost := count(epoch.Add(2*time.Second), false)
+	require.Equal(t, 41, lost, "the last view counts for 0.8 s more")
+	require.Equal(t, 100, count(epoch.Add(4*time.Second), true))
+}
+
+// BenchmarkOpeningWithLoad is BenchmarkOpening with a view of all zones, which changes every 50 ms.
+func BenchmarkOpeningWithLoad(b *testing.B) {
+	for _, n := range []int{14, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := newRouter(b, targetsInZones(n)...)
+			occupied := map[string]map[string]float64{}
+			for i := range 18 {
+				occupied[string(rune('a'+i))] = map[string]float64{"a": 1.3 * float64(n) / 18, "b": 0.2}
+			}
+			s := loadView(1, epoch, occupied)
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				now := epoch.Add(time.Duration(n) * time.Millisecond)
+				if n%50 == 0 {
+					s.Version++
+					for name, z := range s.Zones {
+						z.Measured = now
+						s.Zones[name] = z
+					}
+					r.SetLoad(now, s)
+				}
+				r.Route(now, opening(n&0x7fff))
+				if n%100 == 0 {
+					r.Tick(now)
+				}
+			}
+		})
+	}
+}
--- a/internal/daemon/cookie/decisionlog.go
+++ b/internal/daemon/cookie/decisionlog.go
@@ -55,6 +55,12 @@
 	if v.Reason == router.Overloaded {
 		args = append(args, "Predicted", v.Predicted.String(), "UnderWay", v.UnderWay, "Limit", v.Limit)
 	}
+	if v.SlotLimit > 0 {
+		args = append(args, "Use", v.Use, "SlotLimit", v.SlotLimit)
+	}
+	if v.LoadVersion > 0 {
+		args = append(args, "LoadVersion", v.LoadVersion, "LoadAge", v.LoadAge.String())
+	}
 	if v.Action == router.Forward {
 		args = append(args, "To", v.To.String(), "Live", v.Live)
 	}
--- a/internal/overload/zoneadmission/replay_test.go
+++ b/internal/overload/zoneadmission/replay_test.go
@@ -67,7 +67,6 @@
 	virtual.Clock
 	random    *rand.Rand
 	work      time.Duration
-	rate      float64
 	balancers []*balancer
 	upstreams []*upstream
 	burst     time.Duration
