--- a/internal/cookie/router/zoneadmission_test.go
+++ b/internal/cookie/router/zoneadmission_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -267,6 +268,65 @@
 	require.Equal(t, 100, count(epoch.Add(4*time.Second), true))
 }
 
+// deliverLoad measures the requests at all servers every 20 ms, and delivers every third mean of the
+// last 200 ms to all routers 250 ms later.
+func (s *simulation) deliverLoad(samples []float64) {
+	s.AfterFunc(20*time.Millisecond, func() {
+		occupied := 0.0
+		for _, x := range s.servers {
+			occupied += float64(x.busy + len(x.queue))
+		}
+		samples = append(samples, occupied)
+		if len(samples)%3 == 0 {
+			last := samples[max(len(samples)-10, 0):]
+			load := localLoad(uint64(len(samples)), s.Now, lo.Sum(last)/float64(len(last)))
+			s.AfterFunc(250*time.Millisecond, func() {
+				for _, r := range s.routers {
+					r.SetLoad(s.Now, load)
+				}
+			})
+		}
+		s.deliverLoad(samples)
+	})
+}
+
+// Guards against queues that fill, or urgent callers that fail, when routers compare a view that is
+// old with their present requests in flight: callers offer 1.5 and 3 times the capacity at once. Without
+// views, the limit of each balancer decides. In the first second, before a view of the load arrives,
+// upstreams refuse a quarter to two fifths more than without views.
+func TestRoutersRejectByOldViews(t *testing.T) {
+	for _, load := range []float64{0.45, 1.5, 3} {
+		fullWithout := 0
+		for _, views := range []bool{false, true} {
+			s := newSimulationOf(t, epoch.Add(-time.Minute), fleetObjective, nil, fleetBalancers, fleetUpstreams)
+			s.meanProcessingTime, s.responseTimeObjective = fleetProcessingTime, fleetObjective
+			for _, r := range s.routers {
+				r.SetBalancers(fleetBalancers)
+			}
+			if views {
+				s.deliverLoad(nil)
+			}
+			s.tick()
+			s.offer(load * fleetUpstreams * slotsPerUpstream / fleetProcessingTime.Seconds())
+			s.run(warmUp)
+			atBegin := s.queueFull
+			s.run(duration)
+			urgent, all := float64(s.urgentInTime)/float64(s.urgentOffered), float64(s.inTime)/float64(s.offered)
+			t.Logf("at %.2f of the capacity, views %v: urgent in time %.3f, all %.3f, rejected %d, at full queues %d of %d and %d in the first second", load, views, urgent, all, s.rejected, s.queueFull-atBegin, s.offered, atBegin)
+			if !views {
+				fullWithout = s.queueFull - atBegin
+				continue
+			}
+			require.LessOrEqual(t, s.queueFull-atBegin, fullWithout/2)
+			require.Greater(t, all, min(1, 1/load)-0.1)
+			require.GreaterOrEqual(t, urgent, min(0.95, 4/load-0.4))
+			if load < 0.5 {
+				require.Zero(t, s.rejected)
+			}
+		}
+	}
+}
+
 // BenchmarkOpeningWithLoad is BenchmarkOpening with a view of all zones, which changes every 50 ms.
 func BenchmarkOpeningWithLoad(b *testing.B) {
 	for _, n := range []int{14, 3000} {
--- a/internal/overload/zoneadmission/replay_test.go
+++ b/internal/overload/zoneadmission/replay_test.go
@@ -36,11 +36,14 @@
 	recovery = time.Second
 )
 
-// zones have different numbers of balancers, as in the measured burst.
-var zones = []struct {
+// zone has balancers and a share of the load.
+type zone struct {
 	balancers int
 	load      float64
-}{{26, 0.34}, {31, 0.33}, {28, 0.33}}
+}
+
+// measuredZones have the numbers of balancers of the measured burst.
+var measuredZones = []zone{{26, 0.34}, {31, 0.33}, {28, 0.33}}
 
 // upstream is a stand-in that processes requests in order.
 type upstream struct {
@@ -67,6 +70,7 @@
 	virtual.Clock
 	random    *rand.Rand
 	work      time.Duration
+	zones     []zone
 	balancers []*balancer
 	upstreams []*upstream
 	burst     time.Duration
@@ -120,8 +124,12 @@
 }
 
 func newReplay(seed uint64, work time.Duration) *replay {
+	return newReplayOf(seed, work, measuredZones)
+}
+
+func newReplayOf(seed uint64, work time.Duration, zones []zone) *replay {
 	r := &replay{
-		Clock: virtual.Clock{Now: epoch}, random: rand.New(rand.NewPCG(seed, 2)), work: work, response: work, workFactor: 1, limited: true,
+		Clock: virtual.Clock{Now: epoch}, random: rand.New(rand.NewPCG(seed, 2)), work: work, zones: zones, response: work, workFactor: 1, limited: true,
 		lost: func(time.Time) bool { return false }, late: func() time.Duration { return 0 },
 		counts: counts{zoneOffered: make([]int, len(zones)), zoneServed: make([]int, len(zones))},
 	}
@@ -168,9 +176,9 @@
 	}
 	r.AfterFunc(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), func() {
 		c := &caller{hash: xxhash.Sum64([]byte{byte(r.random.IntN(256)), byte(r.random.IntN(8))}), urgent: r.random.IntN(4) == 0, counted: r.inBurst()}
-		c.zone = len(zones) - 1
-		for x := r.random.Float64(); c.zone > 0 && x >= zones[c.zone].load; c.zone-- {
-			x -= zones[c.zone].load
+		c.zone = len(r.zones) - 1
+		for x := r.random.Float64(); c.zone > 0 && x >= r.zones[c.zone].load; c.zone-- {
+			x -= r.zones[c.zone].load
 		}
 		if c.counted {
 			r.counts.offered[c.tier()]++
@@ -371,6 +379,16 @@
 	}
 }
 
+// Guards against callers who are served worse because their zone has 2.4 times the load of others: with
+// the limit of each balancer, only these were rejected.
+func TestZoneWithMoreLoadIsServedAlike(t *testing.T) {
+	for _, load := range []float64{ordinaryLoad, 0.25} {
+		c := newReplayOf(1, 20*time.Millisecond, []zone{{28, 1 / 4.4}, {28, 1 / 4.4}, {28, 2.4 / 4.4}}).run(load, burstMultiple, burstLength)
+		t.Logf("load %.2f: served urgent %.3f, ordinary %.3f, by zone %.3f", load*burstMultiple, c.share(1), c.share(0), c.zones())
+		requireFair(t, c)
+	}
+}
+
 // requireFair checks the invariants that hold in every replay.
 func requireFair(t require.TestingT, c counts) {
 	require.GreaterOrEqual(t, c.share(1), c.share(0))
