--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -10,6 +10,7 @@
 	"wasabideal/internal/overload/concurrency"
 	"wasabideal/internal/overload/response"
 	"wasabideal/internal/overload/urgency"
+	"wasabideal/internal/overload/zoneadmission"
 )
 
 // service is the state shared by the upstreams of one service.
@@ -110,15 +111,19 @@
 	s := r.service(name)
 	s.urgency.Record(now, route.Priority)
 	urgent := s.urgency.Urgent(now, route.Priority)
-	v, rejected := r.checkConcurrency(now, name, s, route, urgent)
+	// The average of the concurrency limit is kept up to date for the time without a fresh view.
+	limit, reached := r.concurrencyReached(now, name, s, route.Class, urgent)
 	if r.updateZoneUse(now, name, s) {
-		var idle bool
-		if v, rejected, idle = r.checkZoneUse(now, s, route, k, urgent); idle {
+		d := s.decideByUse(now, route.Objective, k, urgent)
+		if d.Use < zoneadmission.Idle {
 			return Verdict{}, false
 		}
-	}
-	if rejected {
-		return v, true
+		// An upload occupies a slot for a small part of its time: only its response time counts.
+		if !d.Admitted && route.Class != configuration.Upload {
+			return r.useVerdict(now, s, d), true
+		}
+	} else if reached {
+		return Verdict{Action: Reset, Reason: Overloaded, Revision: r.revision, UnderWay: s.effectiveInFlight(), Limit: limit}, true
 	}
 	if r.settings.Off.Has(mechanism.Admission) {
 		return Verdict{}, false
@@ -136,21 +141,17 @@
 	}, true
 }
 
-// checkConcurrency reports whether a new flow is rejected because this balancer has used up its
-// share of the service's concurrency, and returns the verdict if so.
-func (r *Router) checkConcurrency(now time.Time, name string, s *service, route configuration.Route, urgent bool) (Verdict, bool) {
+// concurrencyReached reports whether this balancer has used up its share of the service's
+// concurrency, and returns its limit.
+func (r *Router) concurrencyReached(now time.Time, name string, s *service, class configuration.Class, urgent bool) (int, bool) {
 	p := r.pools[name]
-	if p == nil || route.Class == configuration.Upload || r.settings.Off.Has(mechanism.Concurrency) {
-		return Verdict{}, false
+	if p == nil || class == configuration.Upload || r.settings.Off.Has(mechanism.Concurrency) {
+		return 0, false
 	}
 	shared := concurrency.SharedSlots{Slots: p.slots, Balancers: r.balancers}
 	limit, known := shared.Limit(urgent)
 	s.markOverdue(now)
-	inFlight := s.effectiveInFlight()
-	if !s.concurrency.Update(now, inFlight, limit) || !known {
-		return Verdict{}, false
-	}
-	return Verdict{Action: Reset, Reason: Overloaded, Revision: r.revision, UnderWay: inFlight, Limit: limit}, true
+	return limit, s.concurrency.Update(now, s.effectiveInFlight(), limit) && known
 }
 
 // SetBalancers sets how many balancers share the upstreams, 0 if unknown.
--- a/internal/cookie/router/zoneadmission.go
+++ b/internal/cookie/router/zoneadmission.go
@@ -5,7 +5,6 @@
 
 	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/metric/minimum"
-	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/overload/zoneadmission"
 	"wasabideal/internal/zoneload/snapshot"
 )
@@ -66,19 +65,17 @@
 	if now.Sub(u.measured) > snapshot.MaxAge {
 		return
 	}
-	oldest := u.measured
-	for name := range r.zoneLoad.Zones {
-		// Only the fields that are needed are copied.
-		measured := r.zoneLoad.Zones[name].Measured
-		if now.Sub(measured) > snapshot.MaxAge {
+	oldest, expired := u.measured, now.Add(-snapshot.MaxAge)
+	for name, z := range r.zoneLoad.Zones {
+		if z.Measured.Before(expired) {
 			continue
 		}
-		if measured.Before(oldest) {
-			oldest = measured
+		if z.Measured.Before(oldest) {
+			oldest = z.Measured
 		}
 		u.load.Slots += float64(p.zoneSlots[name])
-		for upstreams, occupied := range r.zoneLoad.Zones[name].Services[service].Occupied {
-			if p.zoneSlots[upstreams] > 0 && now.Sub(r.zoneLoad.Zones[upstreams].Measured) <= snapshot.MaxAge {
+		for upstreams, occupied := range z.Services[service].Occupied {
+			if p.zoneSlots[upstreams] > 0 && (upstreams == name || !r.zoneLoad.Zones[upstreams].Measured.Before(expired)) {
 				u.load.Occupied += occupied
 			}
 		}
@@ -101,29 +98,28 @@
 	return max(s.medianResponseTime-handshake, 0)
 }
 
-// checkZoneUse reports whether a new flow is rejected by the load of all zones, and returns the
-// verdict if so. It also reports whether the service is so little used that no rule rejects flows.
-// Uploads are only rejected by their response time, since they occupy a slot for a small part of it.
-func (r *Router) checkZoneUse(now time.Time, s *service, route configuration.Route, k Flow, urgent bool) (v Verdict, rejected, idle bool) {
+// decideByUse decides on a new flow by the load of all zones, which must be known.
+func (s *service) decideByUse(now time.Time, objective time.Duration, k Flow, urgent bool) zoneadmission.Decision {
 	u := &s.zoneUse
-	if urgent && route.Objective > 0 {
+	load := u.load
+	load.InFlight = float64(s.effectiveInFlight())
+	f := zoneadmission.Flow{Objective: objective, Work: u.work, Urgent: urgent, Caller: k.addressHash()}
+	switch {
+	case urgent && objective > 0:
 		if u.urgentObjectives == nil {
 			u.urgentObjectives = minimum.New(urgentObjectiveWindow)
 		}
-		u.urgentObjectives.Record(now, route.Objective)
-	}
-	load := u.load
-	load.InFlight = float64(s.effectiveInFlight())
-	f := zoneadmission.Flow{Objective: route.Objective, Work: u.work, Urgent: urgent, Caller: k.addressHash()}
-	if !urgent && u.urgentObjectives != nil {
+		u.urgentObjectives.Record(now, objective)
+	case !urgent && u.urgentObjectives != nil:
 		f.UrgentObjective, _ = u.urgentObjectives.Shortest(now)
 	}
-	d := zoneadmission.Decide(now, load, f)
-	if d.Admitted || route.Class == configuration.Upload {
-		return Verdict{}, false, d.Use < zoneadmission.Idle
-	}
+	return zoneadmission.Decide(now, load, f)
+}
+
+// useVerdict returns the verdict on a flow that is rejected by the load of all zones.
+func (r *Router) useVerdict(now time.Time, s *service, d zoneadmission.Decision) Verdict {
 	return Verdict{
 		Action: Reset, Reason: Overloaded, Revision: r.revision, UnderWay: s.effectiveInFlight(), Use: d.Use, SlotLimit: d.Limit,
-		LoadVersion: r.zoneLoad.Version, LoadAge: now.Sub(u.measured),
-	}, true, false
+		LoadVersion: r.zoneLoad.Version, LoadAge: now.Sub(s.zoneUse.measured),
+	}
 }
--- a/internal/cookie/router/zoneadmission_test.go
+++ b/internal/cookie/router/zoneadmission_test.go
@@ -336,16 +336,14 @@
 			for i := range 18 {
 				occupied[string(rune('a'+i))] = map[string]float64{"a": 1.3 * float64(n) / 18, "b": 0.2}
 			}
-			s := loadView(1, epoch, occupied)
+			// The other zones' entries never expire, so that the loop sets few of them.
+			s := loadView(1, epoch.Add(time.Hour), occupied)
 			b.ReportAllocs()
 			for n := 0; b.Loop(); n++ {
 				now := epoch.Add(time.Duration(n) * time.Millisecond)
 				if n%50 == 0 {
 					s.Version++
-					for name, z := range s.Zones {
-						z.Measured = now
-						s.Zones[name] = z
-					}
+					s.Zones["a"] = snapshot.Zone{Measured: now, Services: s.Zones["a"].Services}
 					r.SetLoad(now, s)
 				}
 				r.Route(now, opening(n&0x7fff))
