--- a/internal/cookie/router/load.go
+++ b/internal/cookie/router/load.go
@@ -36,8 +36,15 @@
 	occupied occupancy.Occupancy
 }
 
-// SetLoad sets the latest view of the load of all zones.
-func (r *Router) SetLoad(_ time.Time, s snapshot.Snapshot) { r.zoneLoad = s }
+// SetLoad sets the latest view of the load of all zones. An older view than the one in force is
+// ignored.
+func (r *Router) SetLoad(_ time.Time, s snapshot.Snapshot) {
+	if s.Version < r.zoneLoad.Version {
+		return
+	}
+	r.zoneLoad = s
+	r.zoneLoadUpdates++
+}
 
 // Load returns the load of this balancer's callers by service, sorted by name. Services without
 // load are included.
--- /dev/null
+++ b/internal/cookie/router/zoneadmission.go
@@ -0,0 +1,128 @@
+package router
+
+import (
+	"time"
+
+	"wasabideal/internal/cookie/mechanism"
+	"wasabideal/internal/metric/minimum"
+	"wasabideal/internal/overload/zoneadmission"
+	"wasabideal/internal/zoneload/snapshot"
+)
+
+// urgentObjectiveWindow is how long an urgent flow's objective bounds the limit of ordinary flows:
+// the time constant by which demand counts as urgent.
+const urgentObjectiveWindow = 2 * time.Second
+
+// zoneUse is the load of a service by callers of all zones. It is computed once for each view, since
+// that takes time quadratic in the number of zones.
+type zoneUse struct {
+	// updates and changes are those of the router's view and of the pool that it was computed from.
+	updates, changes uint64
+	// until is when the first zone's entry becomes too old.
+	until time.Time
+	// known is whether the view has a fresh entry of this balancer's zone, and upstreams may be
+	// used in zones with a fresh entry.
+	known bool
+	// measured is when the entry of this balancer's zone was measured.
+	measured time.Time
+	// load is the load of the service when the view was measured.
+	load zoneadmission.Load
+	// work is how long a request occupies a slot, 0 if unknown.
+	work    time.Duration
+	history zoneadmission.History
+	// urgentObjectives holds the objectives of recent urgent flows, nil before the first.
+	urgentObjectives *minimum.Window
+}
+
+// recordInFlight records the service's requests in flight, which later views are compared with.
+func (r *Router) recordInFlight(now time.Time, s *service) {
+	if r.zoneLoadUpdates > 0 {
+		s.zoneUse.history.Record(now, s.effectiveInFlight())
+	}
+}
+
+// updateZoneUse updates the service's zoneUse and reports whether it is known.
+func (r *Router) updateZoneUse(now time.Time, name string, s *service) bool {
+	p := r.pools[name]
+	if r.zoneLoadUpdates == 0 || p == nil || r.settings.Off.Has(mechanism.ZoneAdmission) {
+		return false
+	}
+	r.recordInFlight(now, s)
+	u := &s.zoneUse
+	if u.updates != r.zoneLoadUpdates || u.changes != p.changes || u.known && now.After(u.until) {
+		u.updates, u.changes = r.zoneLoadUpdates, p.changes
+		r.computeZoneUse(now, name, s, p)
+	}
+	return u.known
+}
+
+// computeZoneUse computes the service's zoneUse from the view and the pool. Slots in zones without a
+// fresh entry, and in evacuated zones, count neither as slots nor as occupied: only open flows use
+// them. If a fresh entry leaves the service out, its use is unknown.
+func (r *Router) computeZoneUse(now time.Time, service string, s *service, p *pool) {
+	u := &s.zoneUse
+	u.known, u.measured, u.load = false, r.zoneLoad.Zones[r.settings.Zone].Measured, zoneadmission.Load{}
+	if now.Sub(u.measured) > snapshot.MaxAge {
+		return
+	}
+	oldest, expired := u.measured, now.Add(-snapshot.MaxAge)
+	for name, z := range r.zoneLoad.Zones {
+		if z.Measured.Before(expired) {
+			continue
+		}
+		if !z.Knows(service) {
+			return
+		}
+		if z.Measured.Before(oldest) {
+			oldest = z.Measured
+		}
+		u.load.Slots += float64(p.zoneSlots[name])
+		for upstreams, occupied := range z.Services[service].Occupied {
+			if p.zoneSlots[upstreams] > 0 && (upstreams == name || !r.zoneLoad.Zones[upstreams].Measured.Before(expired)) {
+				u.load.Occupied += occupied
+			}
+		}
+	}
+	u.until = oldest.Add(snapshot.MaxAge)
+	u.known = u.load.Slots > 0
+	u.load.InFlightThen = float64(s.effectiveInFlight())
+	if then, known := u.history.Mean(u.measured); known {
+		u.load.InFlightThen = then
+	}
+	u.work = r.work(now, s)
+}
+
+// work returns how long a request of the service occupies a slot, 0 if unknown.
+func (r *Router) work(now time.Time, s *service) time.Duration {
+	handshake, known := r.recentHandshakes.Shortest(now)
+	if !known {
+		handshake, _ = r.handshakes.Shortest(now)
+	}
+	return max(s.medianResponseTime-handshake, 0)
+}
+
+// decideByUse decides on a new flow by the load of all zones, which must be known.
+func (s *service) decideByUse(now time.Time, objective time.Duration, k Flow, urgent bool) zoneadmission.Decision {
+	u := &s.zoneUse
+	load := u.load
+	load.InFlight = float64(s.effectiveInFlight())
+	f := zoneadmission.Flow{Objective: objective, Work: u.work, Urgent: urgent, Caller: k.addressHash()}
+	switch {
+	case urgent && objective > 0:
+		if u.urgentObjectives == nil {
+			u.urgentObjectives = minimum.New(urgentObjectiveWindow)
+		}
+		u.urgentObjectives.Record(now, objective)
+	case !urgent && u.urgentObjectives != nil:
+		f.UrgentObjective, _ = u.urgentObjectives.Shortest(now)
+	}
+	return zoneadmission.Decide(now, load, f)
+}
+
+// useVerdict returns the verdict on a flow that is rejected by the load of all zones.
+func (r *Router) useVerdict(now time.Time, s *service, d zoneadmission.Decision) Verdict {
+	return Verdict{
+		Action: Reset, Reason: Overloaded, Revision: r.revision, UnderWay: s.effectiveInFlight(), Use: d.Use, SlotLimit: d.Limit,
+		LoadVersion: r.zoneLoad.Version, LoadAge: now.Sub(s.zoneUse.measured),
+	}
+}
