--- a/internal/cookie/follower/fetcher.go
+++ b/internal/cookie/follower/fetcher.go
@@ -36,6 +36,7 @@
 // fetcher fetches configurations from one source at a time.
 type fetcher struct {
 	token   string
+	traffic *rpc.Traffic
 	handler Handler
 	log     hclog.Logger
 	mu      sync.Mutex
@@ -199,7 +200,7 @@
 func (f *fetcher) fetch(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, f.timeout(address))
 	defer cancel()
-	client := rpc.NewClient(address, f.token)
+	client := rpc.NewClient(address, f.token).CountTraffic(f.traffic)
 	defer client.Close()
 	current := f.handler.Configuration()
 	c, err := requestConfiguration(ctx, client, current, current.Revision)
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -24,6 +24,7 @@
 	"wasabideal/internal/silence/evaluators"
 	"wasabideal/internal/silence/evidence"
 	"wasabideal/internal/wire/pool"
+	"wasabideal/internal/wire/rpc"
 )
 
 const (
@@ -78,6 +79,8 @@
 	// StaleAfter is the maximum age of a voter's state, relayed by a parent, that still counts as
 	// fresh.
 	StaleAfter time.Duration
+	// Traffic counts the bytes of RPC connections; it may be nil.
+	Traffic *rpc.Traffic
 }
 
 // Follower polls the voters, or a parent balancer that relays their state.
@@ -125,9 +128,10 @@
 func New(s Settings, h Handler, log hclog.Logger) *Follower {
 	f := &Follower{
 		settings: s, log: log, handler: h, polled: map[string]*source{}, voterSeen: map[string]time.Time{},
-		origins: origins.New(), membership: membership.New(), followers: members.New(), pool: pool.New(s.Token),
+		origins: origins.New(), membership: membership.New(), followers: members.New(), pool: pool.New(s.Token).CountTraffic(s.Traffic),
 	}
 	f.fetcher = newFetcher(s.Token, h, f.knownVoters, log)
+	f.fetcher.traffic = s.Traffic
 	if s.Self.Address != "" {
 		f.selection = selection.New(selection.Settings{
 			Self: s.Self.Address, Shape: s.Shape, StaleAfter: s.StaleAfter, Jitter: jitter(s.Self.Address),
@@ -321,7 +325,8 @@
 	ctx, cancel := context.WithCancel(f.ctx)
 	src := &source{isVoter: isVoter, stop: cancel}
 	src.reporter = &reporter{
-		token: f.settings.Token, to: address, clock: f.settings.Clock, log: f.log, wake: make(chan struct{}, 1),
+		traffic: f.settings.Traffic,
+		token:   f.settings.Token, to: address, clock: f.settings.Clock, log: f.log, wake: make(chan struct{}, 1),
 		followerReport: func() []members.Heartbeat { return f.followerReport(address) },
 	}
 	f.polled[address] = src
--- a/internal/cookie/follower/parent.go
+++ b/internal/cookie/follower/parent.go
@@ -21,7 +21,7 @@
 
 // pollParent polls a balancer until the context ends or a poll fails.
 func (f *Follower) pollParent(ctx context.Context, address string) {
-	client := rpc.NewClient(address, f.settings.Token)
+	client := rpc.NewClient(address, f.settings.Token).CountTraffic(f.settings.Traffic)
 	defer client.Close()
 	for ctx.Err() == nil {
 		started := f.settings.Clock()
--- a/internal/cookie/follower/reporter.go
+++ b/internal/cookie/follower/reporter.go
@@ -42,6 +42,7 @@
 // and which balancers follow this one.
 type reporter struct {
 	token, to string
+	traffic   *rpc.Traffic
 	clock     func() time.Time
 	log       hclog.Logger
 	// followerReport returns the followers to report, none if the target is not to receive any.
@@ -75,7 +76,7 @@
 
 // run sends one report at a time until the context ends.
 func (r *reporter) run(ctx context.Context) {
-	client := rpc.NewClient(r.to, r.token)
+	client := rpc.NewClient(r.to, r.token).CountTraffic(r.traffic)
 	defer client.Close()
 	followerTimer := time.NewTimer(firstFollowerReport)
 	defer followerTimer.Stop()
--- a/internal/cookie/follower/voters.go
+++ b/internal/cookie/follower/voters.go
@@ -21,7 +21,7 @@
 
 // pollVoter polls one voter until the context ends or the voter expires.
 func (f *Follower) pollVoter(ctx context.Context, address string, src *source) {
-	client := rpc.NewClient(address, f.settings.Token)
+	client := rpc.NewClient(address, f.settings.Token).CountTraffic(f.settings.Traffic)
 	client.SetDialTimeout(isolatedDialTimeout)
 	defer client.Close()
 	var retries backoff
--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -95,15 +95,16 @@
 }
 
 // noteEstablished updates a flow from a packet of its caller. An acknowledged answer shows
-// that the upstream is alive. A retransmitted request shows that the upstream may be down.
-func (r *Router) noteEstablished(now time.Time, k Flow, t *target, p Packet) {
+// that the upstream is alive. A retransmitted request shows that the upstream may be down. It
+// returns whether this balancer placed the flow, and whether the packet is a retransmission.
+func (r *Router) noteEstablished(now time.Time, k Flow, t *target, p Packet) (openedHere, retransmitted bool) {
 	f := r.flows[k]
 	if f == nil || f.target != t {
 		if f != nil {
 			r.removeFlow(k, f)
 		}
 		if len(r.flows) >= maxFlows {
-			return
+			return false, false
 		}
 		f = r.addFlow(k, flow{target: t, nextSequence: p.Sequence, acknowledged: p.Acknowledged})
 	}
@@ -125,10 +126,11 @@
 			r.recordResponseTime(now, f, r.Class(p.Address))
 		}
 	}
-	r.noteData(now, f, t, p)
+	openedHere, retransmitted = !f.opened.IsZero(), r.noteData(now, f, t, p)
 	if p.Finish || p.Reset {
 		r.removeFlow(k, f)
 	}
+	return openedHere, retransmitted
 }
 
 // noteHandshake records the duration of a handshake. After a retransmission it is unknown which
@@ -152,9 +154,10 @@
 	r.noteUpstreamAnswer(now, f.target)
 }
 
-func (r *Router) noteData(now time.Time, f *flow, t *target, p Packet) {
+// noteData records the data of a packet and reports whether it is a retransmission.
+func (r *Router) noteData(now time.Time, f *flow, t *target, p Packet) bool {
 	if p.Length == 0 {
-		return
+		return false
 	}
 	sequenceEnd := p.Sequence + uint32(p.Length)
 	if int32(sequenceEnd-f.nextSequence) > 0 {
@@ -166,11 +169,12 @@
 			t.addPending(0, 1)
 			f.awaitAnswer(now)
 		}
-		return
+		return false
 	}
 	if f.requestPending {
 		r.noteRetransmission(now, p.Address, f)
 	}
+	return true
 }
 
 // Flows returns the number of stored flows.
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -133,6 +133,9 @@
 	Revision uint64
 	Sequence uint64
 	Live     bool
+	// OpenedHere is set for a packet of a known flow that this balancer placed. Retransmitted is
+	// set if the packet repeats data that passed this balancer before.
+	OpenedHere, Retransmitted bool
 	// Predicted and UnderWay explain an overload: the predicted response time of a request,
 	// and the number of the service's pending openings and requests that are not overdue.
 	Predicted time.Duration
@@ -140,4 +143,7 @@
 	// Limit is the concurrency limit that UnderWay has reached, 0 if the flow is not rejected for
 	// this limit.
 	Limit int
+	// LinkDelay is the queueing delay of the VM's link for which an opening is rejected, 0 if it is
+	// not rejected for it.
+	LinkDelay time.Duration
 }
--- a/internal/cookie/router/place.go
+++ b/internal/cookie/router/place.go
@@ -84,9 +84,13 @@
 }
 
 // noteRetransmission records a retransmitted opening or request. The local suspicion keeps
-// new flows off the upstream even if no voter is reachable.
+// new flows off the upstream even if no voter is reachable. While the link is delayed, the packet was
+// probably retransmitted because it was queued there.
 func (r *Router) noteRetransmission(now time.Time, address netip.AddrPort, f *flow) {
 	f.retransmitted = true
+	if r.linkDelayed {
+		return
+	}
 	r.reportUnanswered(now, address, f)
 	r.suspectLocally(now, f)
 }
--- a/internal/cookie/router/refused.go
+++ b/internal/cookie/router/refused.go
@@ -48,11 +48,15 @@
 func (x *refusals) mostAbandoned() bool { return x.checked >= minSample && 2*x.abandoned >= x.checked }
 
 // detectAbandoned checks the openings that have reached the age abandonedAfter, and calls
-// suspectRefused for each abandoned one.
+// suspectRefused for each abandoned one. While the link is delayed, openings are not counted: their
+// callers may have completed them in time.
 func (r *Router) detectAbandoned(now time.Time) {
 	abandoned := r.abandoned[:0]
 	for _, s := range r.services {
 		s.refusalChecks.expire(now, abandonedAfter, func(p pendingAnswer) {
+			if r.linkDelayed {
+				return
+			}
 			x := &p.target.zone.refusals
 			x.checked++
 			if p.stillPending() && !p.flow.retransmitted {
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -85,6 +85,8 @@
 	// recentHandshakes and handshakes hold the durations of handshakes without a retransmission.
 	// The shortest recent one exceeds the shortest of all by the queueing delay of the VM's link.
 	recentHandshakes, handshakes *minimum.Window
+	// linkDelayed is set while missing answers say nothing about upstreams.
+	linkDelayed bool
 }
 
 const (
@@ -172,8 +174,9 @@
 	if p.Length > 0 && t.unresponsive() && r.Class(p.Address).Repeatable() {
 		return r.resetFlow(p.Flow(), r.flows[p.Flow()], t, Unresponsive)
 	}
-	r.noteEstablished(now, p.Flow(), t, p)
-	return r.forwardVerdict(t, Known)
+	v := r.forwardVerdict(t, Known)
+	v.OpenedHere, v.Retransmitted = r.noteEstablished(now, p.Flow(), t, p)
+	return v
 }
 
 // resetVerdict returns a verdict that resets a flow because of its upstream's state.
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -124,7 +124,9 @@
 	// awaitingCapacity buffers packets that wait for capacity at their upstream.
 	awaitingCapacity *pending.Buffer[packetKey, bufferedPacket]
 	// uploads is nil if pacing is disabled.
-	uploads       *uploads
+	uploads *uploads
+	// link is nil if new flows are not rejected by the capacity of the link.
+	link          *link
 	configuration configuration.Configuration
 	// evacuations are the evacuation orders in force for availability zones.
 	evacuations evacuation.Evacuations
@@ -159,6 +161,7 @@
 	if uplink.NeedsPacing(s.LinkBytesPerSecond) && !s.Off.Has(mechanism.Pacing) {
 		b.uploads = newUploads(s.LinkBytesPerSecond)
 	}
+	b.link = newLink(s, b.counts.registry)
 	self, err := b.setUpFollower()
 	b.router = router.New(router.Settings{
 		Zone: s.Zone, Self: self, Started: s.Clock(), Seed: xxhash.Sum64String(s.Fabric), Off: s.Off, Suspected: b.recordSuspicion,
@@ -288,6 +291,7 @@
 			now := b.settings.Clock()
 			b.router.SetBalancers(b.follower.Balancers())
 			b.router.SetPeers(now, b.follower.Peers())
+			b.updateLink(now)
 			b.router.Tick(now)
 			b.refresh(now)
 			b.placeBuffered(now, b.awaitingCapacity)
@@ -300,6 +304,7 @@
 			}
 			b.decisionLog.flush(now, b.log)
 			b.logLink(now)
+			b.logLinkAdmission(now)
 			b.mu.Unlock()
 		}
 	}
--- a/internal/daemon/cookie/decisionlog.go
+++ b/internal/daemon/cookie/decisionlog.go
@@ -55,6 +55,9 @@
 	if v.Reason == router.Overloaded {
 		args = append(args, "Predicted", v.Predicted.String(), "UnderWay", v.UnderWay, "Limit", v.Limit)
 	}
+	if v.LinkDelay > 0 {
+		args = append(args, "LinkDelay", v.LinkDelay.String())
+	}
 	if v.Action == router.Forward {
 		args = append(args, "To", v.To.String(), "Live", v.Live)
 	}
--- a/internal/daemon/cookie/fanout.go
+++ b/internal/daemon/cookie/fanout.go
@@ -66,7 +66,7 @@
 // for them. It returns the server's address.
 func (b *Balancer) setUpFollower() (string, error) {
 	s := b.settings
-	f := follower.Settings{Token: s.Token, From: s.Fabric, Clock: s.Clock, Shape: s.Shape, StaleAfter: s.StaleAfter}
+	f := follower.Settings{Token: s.Token, From: s.Fabric, Clock: s.Clock, Shape: s.Shape, StaleAfter: s.StaleAfter, Traffic: b.link.controlTraffic()}
 	if s.Rpc == "" {
 		b.follower = follower.New(f, b, b.log)
 		return "", nil
@@ -79,7 +79,7 @@
 	f.Self = member.Member{Zone: s.Zone, Address: l.Addr().String(), Announcements: s.Announcements}
 	b.follower = follower.New(f, b, b.log)
 	x := &fanout{
-		listener: l, history: history.New(maxDeltas), sample: sample.New(), referral: referral.New(s.Shape),
+		listener: b.link.controlTraffic().Listener(l), history: history.New(maxDeltas), sample: sample.New(), referral: referral.New(s.Shape),
 		relay:         relay.New(b, s.Clock, int(followerHeadroom*float64(s.Shape.Fanout))),
 		announcements: handover.New(s.Clock, b.follower.ForwardAnnouncements),
 		server:        rpc.NewServer(func(method string) { b.log.Warn("rejected call without valid token", "Method", method) }),
--- /dev/null
+++ b/internal/daemon/cookie/link_test.go
@@ -0,0 +1,224 @@
+package cookie
+
+import (
+	"bytes"
+	"encoding/binary"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/cookie/mechanism"
+	"wasabideal/internal/cookie/router"
+	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/overload/linkbudget"
+	"wasabideal/internal/upstream/view"
+)
+
+var (
+	linkEpoch   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	linkRoute   = netip.MustParseAddrPort("198.18.0.1:443")
+	linkUploads = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+const linkHeaderSize = 36
+
+// fixedCodec decodes a datagram to the packet that its first four bytes number.
+type fixedCodec struct{ packets []router.Packet }
+
+func (c *fixedCodec) Decode(b []byte) (router.Packet, error) {
+	return c.packets[binary.BigEndian.Uint32(b)], nil
+}
+
+func (*fixedCodec) Forward(buffer, data []byte, _ router.Verdict) []byte {
+	return append(append(buffer, make([]byte, 8)...), data...)
+}
+
+func (*fixedCodec) Reset(buffer []byte, p router.Packet) (netip.AddrPort, []byte) {
+	return p.Caller, append(buffer, make([]byte, linkHeaderSize)...)
+}
+
+// linkBalancer is a balancer that is not started. Its packets are handled at times that the test sets.
+type linkBalancer struct {
+	*Balancer
+	codec *fixedCodec
+	now   time.Time
+	log   bytes.Buffer
+}
+
+func newLinkBalancer(t testing.TB, sharedLoad bool, off mechanism.Off) *linkBalancer {
+	x := &linkBalancer{codec: &fixedCodec{}, now: linkEpoch}
+	b, err := Listen(Settings{
+		Fabric: "127.0.0.1:0", Zone: "a", Token: "group", Codec: x.codec, LinkBytesPerSecond: 250_000, SharedLoad: sharedLoad,
+		Off: off, Clock: func() time.Time { return x.now },
+	}, hclog.New(&hclog.LoggerOptions{Output: &x.log, JSONFormat: true}))
+	require.NoError(t, err)
+	t.Cleanup(b.socket.Close)
+	x.Balancer = b
+	require.NoError(t, b.router.Configure(configuration.Configuration{Revision: 1, Routes: []configuration.Route{
+		{Name: "r", Address: linkRoute, Service: "orders", Class: configuration.Idempotent},
+		{Name: "u", Address: linkUploads, Service: "orders", Class: configuration.Upload},
+	}}))
+	b.router.SetTargets(linkEpoch.Add(-time.Minute), []view.Target{{Live: true, Upstream: upstream.Upstream{
+		Identity: upstream.Identity{Service: "orders", Incarnation: 77, Address: netip.MustParseAddrPort("127.0.0.1:9")},
+		Zone:     "a", Slots: 2, State: upstream.Ready,
+	}}})
+	return x
+}
+
+func (x *linkBalancer) handlePacket(p router.Packet) {
+	x.codec.packets = append(x.codec.packets, p)
+	data := make([]byte, linkHeaderSize+p.Length)
+	binary.BigEndian.PutUint32(data, uint32(len(x.codec.packets)-1))
+	x.handle(x.now, 0, data)
+	_ = x.socket.Flush()
+	x.outputsUsed = 0
+}
+
+func linkCaller(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(n >> 8), byte(n)}), 9)
+}
+
+func (x *linkBalancer) count(r router.Reason) int { return int(x.counts.decisions[r].Count()) }
+
+// bytes returns the counted bytes of a kind.
+func (x *linkBalancer) bytes(d linkbudget.Direction, k linkKind) int64 {
+	x.metrics()
+	return x.link.bytes[d][k].Count()
+}
+
+func (x *linkBalancer) metrics() string {
+	w := httptest.NewRecorder()
+	x.ServeMetrics(w, nil)
+	return w.Body.String()
+}
+
+// 200 openings arrive at once at a link of 2 Mbit/s, which would carry their flows for 0.8 s. All
+// were forwarded, and callers retransmitted what was queued.
+func TestOpeningsBeyondLinkAreRejected(t *testing.T) {
+	x := newLinkBalancer(t, true, 0)
+	for n := range 200 {
+		x.handlePacket(router.Packet{Caller: linkCaller(n), Address: linkRoute, Opening: true})
+	}
+	placed := x.count(router.Placed)
+	require.InDelta(t, 15, placed, 5)
+	require.Equal(t, 200-placed, x.count(router.Busy))
+	x.handlePacket(router.Packet{Caller: linkCaller(0), Address: linkRoute, Opening: true, Copy: 1})
+	require.Equal(t, 1, x.count(router.Repeated), "the flow is stored here")
+	x.handlePacket(router.Packet{Caller: linkCaller(150), Address: linkRoute, Opening: true, Copy: 1})
+	require.Equal(t, 201-placed, x.count(router.Busy))
+	x.handlePacket(router.Packet{Caller: linkCaller(300), Address: linkUploads, Opening: true})
+	require.Equal(t, placed+1, x.count(router.Placed), "uploads are admitted by their pacing")
+
+	out := x.metrics()
+	require.Contains(t, out, "wasabideal_link_delay_milliseconds ")
+	require.Contains(t, out, "wasabideal_link_use_percent ")
+	require.EqualValues(t, 200-placed, x.link.rejected.Count())
+	require.EqualValues(t, 64*201, x.bytes(linkbudget.In, kindOpenings))
+	require.EqualValues(t, 64*2, x.bytes(linkbudget.In, kindRetransmitted))
+	require.EqualValues(t, 72, x.bytes(linkbudget.Out, kindRetransmitted))
+	require.EqualValues(t, 64*(200-placed), x.bytes(linkbudget.Out, kindResets), "a copy is dropped instead")
+	require.Greater(t, x.linkState().Delay, 40*time.Millisecond)
+
+	x.logLinkAdmission(x.now)
+	x.logLinkAdmission(x.now)
+	require.Contains(t, x.log.String(), `"LinkDelay":`)
+	require.Equal(t, 1, strings.Count(x.log.String(), `"link admission"`))
+	x.now = x.now.Add(time.Second)
+	x.handlePacket(router.Packet{Caller: linkCaller(500), Address: linkRoute, Opening: true})
+	require.Equal(t, placed+2, x.count(router.Placed), "the queue has drained")
+}
+
+// Guards against changes of a balancer that does not share its load, or whose decision is disabled.
+func TestLinkAdmissionIsOffByDefault(t *testing.T) {
+	off, err := mechanism.Parse("LinkAdmission")
+	require.NoError(t, err)
+	for _, x := range []*linkBalancer{newLinkBalancer(t, false, 0), newLinkBalancer(t, true, off)} {
+		for n := range 200 {
+			x.handlePacket(router.Packet{Caller: linkCaller(n), Address: linkRoute, Opening: true})
+		}
+		require.Equal(t, 200, x.count(router.Placed))
+		require.NotContains(t, x.metrics(), "link_")
+		require.Zero(t, x.linkState())
+	}
+}
+
+// Guards against counting bytes twice: a flow placed here is counted when it is admitted, and the paced
+// data of uploads by the pacing.
+func TestBytesAreCountedOnce(t *testing.T) {
+	x := newLinkBalancer(t, true, 0)
+	cookie := router.Cookie(77, 0)
+	x.handlePacket(router.Packet{Caller: linkCaller(1), Address: linkRoute, Opening: true})
+	reserved := x.linkState().Delay
+	request := router.Packet{Caller: linkCaller(1), Address: linkRoute, Cookie: cookie, Sequence: 1, Acknowledged: 1}
+	x.handlePacket(request)
+	request.Length = 400
+	x.handlePacket(request)
+	require.Equal(t, reserved, x.linkState().Delay)
+	x.handlePacket(router.Packet{Caller: linkCaller(2), Address: linkUploads, Cookie: cookie, Sequence: 1, Acknowledged: 1, Length: 1200})
+	require.Equal(t, reserved, x.linkState().Delay)
+	require.EqualValues(t, 464+1264, x.bytes(linkbudget.In, kindData))
+	x.handlePacket(request)
+	require.Greater(t, x.linkState().Delay, reserved, "a retransmission")
+	require.EqualValues(t, 464, x.bytes(linkbudget.In, kindRetransmitted))
+	before := x.linkState().Delay
+	x.link.control.AddReceived(500)
+	x.link.control.AddSent(5000)
+	x.updateLink(x.now.Add(time.Microsecond))
+	require.Greater(t, x.linkState().Delay, before, "control messages")
+	require.EqualValues(t, 500, x.bytes(linkbudget.In, kindControl))
+	require.EqualValues(t, 5000, x.bytes(linkbudget.Out, kindControl))
+}
+
+// While the link delays packets, their retransmissions are no evidence against upstreams.
+func TestDelayedLinkSuspendsSuspicions(t *testing.T) {
+	x := newLinkBalancer(t, true, 0)
+	x.handlePacket(router.Packet{Caller: linkCaller(1), Address: linkRoute, Opening: true})
+	x.now = x.now.Add(200 * time.Millisecond)
+	x.link.control.AddSent(50_000)
+	x.handlePacket(router.Packet{Caller: linkCaller(1), Address: linkRoute, Opening: true, Copy: 1})
+	require.Zero(t, x.counts.suspicions.Count())
+	require.Empty(t, x.router.Reports())
+}
+
+func BenchmarkRecordOnLink(b *testing.B) {
+	x := newLinkBalancer(b, true, 0)
+	p := router.Packet{Caller: linkCaller(1), Address: linkRoute, Cookie: router.Cookie(77, 0), Sequence: 1, Acknowledged: 1}
+	v := router.Verdict{Action: router.Forward, Reason: router.Known, OpenedHere: true}
+	now := linkEpoch
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(400 * time.Microsecond)
+		x.recordOnLink(now, linkbudget.In, &p, &v, 100)
+		x.recordOnLink(now, linkbudget.Out, &p, &v, 108)
+	}
+}
+
+// BenchmarkCheckLink measures the decision on an opening of an idle and of a busy link.
+func BenchmarkCheckLink(b *testing.B) {
+	for name, busy := range map[string]bool{"idle": false, "busy": true} {
+		b.Run(name, func(b *testing.B) {
+			x := newLinkBalancer(b, true, 0)
+			p := router.Packet{Caller: linkCaller(1), Address: linkRoute, Opening: true}
+			placed := router.Verdict{Action: router.Forward, Reason: router.Placed}
+			now := linkEpoch
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(4 * time.Millisecond)
+				if busy {
+					x.link.budget.RecordOther(now, linkbudget.Out, 5000)
+				}
+				if _, rejected := x.checkLink(now, p); !rejected {
+					x.admitToLink(now, p, placed)
+					x.recordOnLink(now, linkbudget.In, &p, &placed, 800)
+					x.recordOnLink(now, linkbudget.Out, &p, &placed, 800)
+				}
+			}
+		})
+	}
+}
--- a/internal/daemon/cookie/metrics.go
+++ b/internal/daemon/cookie/metrics.go
@@ -55,6 +55,7 @@
 	if b.uploads != nil {
 		set("Uploads", b.uploads.link.Active(b.settings.Clock()))
 	}
+	b.setLinkMetrics(set)
 	b.mu.Unlock()
 	b.setFanoutMetrics(set)
 	if err := text.New(b.counts.registry, "wasabideal").Print(w); err != nil {
--- a/internal/daemon/cookie/packets.go
+++ b/internal/daemon/cookie/packets.go
@@ -7,6 +7,7 @@
 
 	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/cookie/router"
+	"wasabideal/internal/overload/linkbudget"
 	"wasabideal/internal/wire/datagram"
 )
 
@@ -45,6 +46,7 @@
 	p, err := b.settings.Codec.Decode(data)
 	if err != nil {
 		b.counts.malformed.Inc(1)
+		b.recordMalformed(now, len(data))
 		b.decisionLog.malformed(err)
 		return
 	}
@@ -57,19 +59,25 @@
 	if p.Opening {
 		arrived = now.Add(-b.socket.QueueDelay(now, index))
 	}
-	b.routePacket(now, arrived, p, data)
+	v := b.routePacket(now, arrived, p, data)
+	b.recordOnLink(now, linkbudget.In, &p, &v, len(data))
 }
 
 // routePacket routes a packet with its time of arrival, buffers it if it may be placed
-// soon, and executes the verdict.
-func (b *Balancer) routePacket(now, arrived time.Time, p router.Packet, data []byte) {
+// soon, and executes and returns the verdict.
+func (b *Balancer) routePacket(now, arrived time.Time, p router.Packet, data []byte) router.Verdict {
 	p.Waited = now.Sub(arrived)
-	v := b.routeOrQueue(now, p, data)
+	v, rejected := b.checkLink(now, p)
+	if !rejected {
+		v = b.routeOrQueue(now, p, data)
+		b.admitToLink(now, p, v)
+	}
 	if v.Action == router.Drop && v.Reason.Temporary() && !b.settings.Off.Has(mechanism.KeptPackets) {
 		b.bufferPacket(now, arrived, p, data)
 		b.unplacedCold = b.unplacedCold || v.Reason == router.Cold
 	}
 	b.execute(now, p, data, v)
+	return v
 }
 
 // execute counts, logs and carries out the verdict on a packet.
@@ -83,11 +91,13 @@
 		}
 		b.recordUnpaced(now, len(data))
 		*b.output() = b.settings.Codec.Forward((*b.output())[:0], data, v)
+		b.recordOnLink(now, linkbudget.Out, &p, &v, len(*b.output()))
 		b.socket.Queue(v.To, *b.output())
 		b.outputsUsed++
 	case router.Reset:
 		to, out := b.settings.Codec.Reset((*b.output())[:0], p)
 		*b.output() = out
+		b.recordReset(now, len(out))
 		b.socket.Queue(to, out)
 		b.outputsUsed++
 	case router.Drop:
--- a/internal/daemon/cookie/uploads.go
+++ b/internal/daemon/cookie/uploads.go
@@ -164,6 +164,7 @@
 		if !due {
 			break
 		}
+		b.recordPacedSent(now, len(p.Payload.data))
 		b.socket.Queue(p.Payload.to, p.Payload.data)
 	}
 	b.admitWaiting(now)
--- a/internal/overload/linkbudget/linkbudget.go
+++ b/internal/overload/linkbudget/linkbudget.go
@@ -37,6 +37,11 @@
 	// configured bandwidth needs more. Below it, handshakes take longer for other reasons, such as
 	// an upstream in another zone.
 	minMeasuredUse = 0.5
+	// A pause of minStall without a packet on a link that is used by half is a pause of the process.
+	// The handshakes that it delayed are the shortest ones for stallHold, their window of 100 ms and
+	// its granularity, and say nothing about the link.
+	minStall  = 20 * time.Millisecond
+	stallHold = 125 * time.Millisecond
 	// suspectDelay is the delay from which a missing answer says nothing about an upstream: a third
 	// of the retransmission timeout in each direction, and the response time.
 	suspectDelay = 60 * time.Millisecond
@@ -110,8 +115,9 @@
 	updated time.Time
 	// undecayed is the time since passed last decayed.
 	undecayed time.Duration
-	// delayedFor is how long the link still counts as delayed.
-	delayedFor time.Duration
+	// delayedFor is how long the link still counts as delayed. unmeasuredFor is how long measured
+	// delays are ignored.
+	delayedFor, unmeasuredFor time.Duration
 }
 
 // New returns the budget of an idle link with the given bandwidth in each direction.
@@ -126,13 +132,13 @@
 // advance drains the queues up to the present time. If the clock went backwards, nothing drains until
 // it moves on.
 func (l *Link) advance(now time.Time) {
-	elapsed := now.Sub(l.updated)
-	if elapsed == 0 {
+	if now.Equal(l.updated) {
+		// Most packets are recorded in batches, twice each.
 		return
 	}
+	elapsed := now.Sub(l.updated)
 	l.updated = now
-	if elapsed < 0 {
-		l.drainedIdle = 0
+	if elapsed <= 0 {
 		return
 	}
 	drained := elapsed.Seconds() * l.drain
@@ -140,6 +146,10 @@
 	l.queued[In] = max(l.queued[In]-drained, 0)
 	l.queued[Out] = max(l.queued[Out]-drained, 0)
 	l.delayedFor = max(l.delayedFor-elapsed, 0)
+	l.unmeasuredFor = max(l.unmeasuredFor-elapsed, 0)
+	if elapsed > minStall {
+		l.unmeasuredFor = stallHold
+	}
 	l.undecayed += elapsed
 	if l.undecayed > decayInterval {
 		remaining := math.Exp(-l.undecayed.Seconds() / useTimeConstant.Seconds())
@@ -177,9 +187,9 @@
 }
 
 // RecordMeasured records the queueing delay that handshakes show at least. It is attributed to the
-// busier direction, unless the link is used too little to have a queue.
+// busier direction, unless the link is used too little to have a queue, or the process stood still.
 func (l *Link) RecordMeasured(now time.Time, delay time.Duration) {
-	if l.Use(now) < minMeasuredUse {
+	if l.Use(now) < minMeasuredUse || l.unmeasuredFor > 0 {
 		return
 	}
 	d := In
--- a/internal/overload/linkbudget/linkbudget_test.go
+++ b/internal/overload/linkbudget/linkbudget_test.go
@@ -141,6 +141,25 @@
 	require.False(t, l.Delayed(now.Add(400*time.Millisecond)))
 }
 
+// The handshakes that end while the process stands still seem to take as long as the pause. Openings
+// were rejected afterwards, so that no shorter handshake was measured.
+func TestHandshakesDelayedByPauseAreIgnored(t *testing.T) {
+	l, now := linkbudget.New(bandwidth), epoch
+	pass := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(time.Millisecond)
+			l.RecordPaced(now, linkbudget.In, 230)
+		}
+	}
+	pass(time.Second)
+	now = now.Add(80 * time.Millisecond)
+	l.RecordMeasured(now, 80*time.Millisecond)
+	require.False(t, l.Rejects(now, linkbudget.Flow{}))
+	pass(130 * time.Millisecond)
+	l.RecordMeasured(now, 80*time.Millisecond)
+	require.True(t, l.Rejects(now, linkbudget.Flow{}), "the pause is over")
+}
+
 func BenchmarkRecordAdmitted(b *testing.B) {
 	l, now := linkbudget.New(bandwidth), epoch
 	b.ReportAllocs()
@@ -158,6 +177,8 @@
 		now = now.Add(4 * time.Millisecond)
 		if !l.MayReject(now) || !l.Rejects(now, linkbudget.Flow{}) {
 			l.Admit(now, linkbudget.Idempotent)
+			l.RecordAdmitted(now, linkbudget.In, linkbudget.Idempotent, 800)
+			l.RecordAdmitted(now, linkbudget.Out, linkbudget.Idempotent, 800)
 		}
 	}
 }
--- a/internal/wire/rpc/client.go
+++ b/internal/wire/rpc/client.go
@@ -40,8 +40,10 @@
 type Client struct {
 	address, token string
 	dialTimeout    time.Duration
-	mu             sync.Mutex
-	conn           *drpcconn.Conn
+	// traffic counts the bytes of the connections; it may be nil.
+	traffic *Traffic
+	mu      sync.Mutex
+	conn    *drpcconn.Conn
 }
 
 // NewClient returns a client that connects on its first call.
@@ -49,6 +51,14 @@
 	return &Client{address: address, token: token, dialTimeout: DialTimeout}
 }
 
+// CountTraffic counts the bytes of later connections in t, which may be nil, and returns the client.
+func (c *Client) CountTraffic(t *Traffic) *Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.traffic = t
+	return c
+}
+
 // SetDialTimeout sets the limit for opening later connections.
 func (c *Client) SetDialTimeout(d time.Duration) {
 	c.mu.Lock()
@@ -94,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	c.conn = drpcconn.New(n)
+	c.conn = drpcconn.New(c.traffic.Conn(n))
 	return nil
 }
 
--- a/internal/wire/rpc/rpc_test.go
+++ b/internal/wire/rpc/rpc_test.go
@@ -209,3 +209,26 @@
 	c.read.Add(int64(n))
 	return n, err
 }
+
+// Guards against a link budget that ignores the traffic of RPC connections: both ends count the bytes
+// of calls and answers, and the segments' headers.
+func TestTrafficIsCountedAtBothEnds(t *testing.T) {
+	var server, client rpc.Traffic
+	l := listen(t)
+	serve(t, server.Listener(l))
+	c := rpc.NewClient(l.Addr().String(), "token").CountTraffic(&client)
+	defer c.Close()
+	const size = 400
+	for range 10 {
+		_, err := echo(c, strings.Repeat("x", size), 5*time.Second)
+		require.NoError(t, err)
+	}
+	for _, traffic := range []*rpc.Traffic{&server, &client} {
+		in, out := traffic.Bytes()
+		require.Greater(t, in, int64(10*(size+52)))
+		require.Greater(t, out, int64(10*(size+52)))
+		require.Less(t, in+out, int64(20*(size+400)))
+	}
+	var none *rpc.Traffic
+	require.Equal(t, l, none.Listener(l), "nothing is counted without a Traffic")
+}
