--- a/internal/daemon/cookie/decisionlog.go
+++ b/internal/daemon/cookie/decisionlog.go
@@ -61,6 +61,9 @@
 	if v.LoadVersion > 0 {
 		args = append(args, "LoadVersion", v.LoadVersion, "LoadAge", v.LoadAge.String())
 	}
+	if v.LinkDelay > 0 {
+		args = append(args, "LinkDelay", v.LinkDelay.String())
+	}
 	if v.Action == router.Forward {
 		args = append(args, "To", v.To.String(), "Live", v.Live)
 	}
