--- a/internal/daemon/control/load.go
+++ b/internal/daemon/control/load.go
@@ -97,7 +97,7 @@
 	for i := range zones {
 		zones[i].Known = s.known[zones[i].Name]
 	}
-	return report.Answer{Zones: zones, Sequence: r.Sequence}, true
+	return report.Answer{Zones: zones, Sequence: r.Sequence}.Condensed(r.Zone), true
 }
 
 func (s *loadService) countBalancers(now time.Time) {
--- a/internal/zoneload/schedule/schedule.go
+++ b/internal/zoneload/schedule/schedule.go
@@ -20,6 +20,10 @@
 	// IdleInterval is the time between two reports otherwise. Three of them may be lost before
 	// the receiver drops the last report.
 	IdleInterval = 250 * time.Millisecond
+	// silenceMargin is the time beyond the lifetime of a report for which nothing is sent after a
+	// change of receiver. It covers the transit of the last report, and the time until the former
+	// receiver has sent a report without it.
+	silenceMargin = FollowerInterval
 	// minSlots and minShare are the differences from the last report above which the load counts
 	// as changed: less has no effect on decisions.
 	minSlots = 2
@@ -48,9 +52,10 @@
 
 // Schedule is the schedule of the reports of one balancer.
 type Schedule struct {
-	lifetime time.Duration
-	parent   string
-	voters   []string
+	// silence is the time without reports after a change of receiver.
+	silence time.Duration
+	parent  string
+	voters  []string
 	// holder is the receiver that got the last report: a parent, or voters. lostAt is when another
 	// receiver took its place, or zero.
 	holder string
@@ -68,10 +73,10 @@
 type key struct{ service, zone string }
 
 // New returns the schedule of a balancer that starts now. A receiver drops a report when it is
-// lifetime old. The first report is sent after that time, because a receiver may still have a
+// lifetime old. The first report is sent a little later than that, because a receiver may still have a
 // report of an earlier process.
 func New(now time.Time, lifetime time.Duration) *Schedule {
-	return &Schedule{lifetime: lifetime, lostAt: now, unanswered: map[string]unansweredReports{}}
+	return &Schedule{silence: lifetime + silenceMargin, lostAt: now, unanswered: map[string]unansweredReports{}}
 }
 
 // SetReceivers sets the parent, or "" if there is none, and the voters that answer polls.
@@ -128,7 +133,7 @@
 // the report as sent.
 func (s *Schedule) Due(now time.Time, load []report.Service) []string {
 	receiver := s.receiver()
-	if receiver == "" || receiver != s.holder && now.Sub(s.lostAt) < s.lifetime {
+	if receiver == "" || receiver != s.holder && now.Sub(s.lostAt) < s.silence {
 		return nil
 	}
 	to := s.receivers(now)
--- a/internal/zoneload/socket/message.go
+++ b/internal/zoneload/socket/message.go
@@ -66,13 +66,28 @@
 // EncodeReport returns the datagram of a report, or a report.SizeError.
 func EncodeReport(s seal.Signer, r report.Report) ([]byte, error) {
 	body, err := r.Encode()
-	return signed(s, kindReport, body), err
+	if err != nil {
+		return nil, err
+	}
+	return signed(s, kindReport, body), nil
 }
 
-// EncodeAnswer returns the datagram of an answer, or a report.SizeError.
-func EncodeAnswer(s seal.Signer, a report.Answer) ([]byte, error) {
-	body, err := a.Encode()
-	return signed(s, kindAnswer, body), err
+// EncodeAnswer returns the datagrams of an answer, several if its zones do not fit into one, or a
+// report.SizeError. An answer without zones is sent too: it shows that the receiver takes part.
+func EncodeAnswer(s seal.Signer, a report.Answer) ([][]byte, error) {
+	parts := []report.Answer{a}
+	if len(a.Zones) > 0 {
+		parts = a.Split()
+	}
+	var out [][]byte
+	for _, part := range parts {
+		body, err := part.Encode()
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, signed(s, kindAnswer, body))
+	}
+	return out, nil
 }
 
 func signed(s seal.Signer, kind byte, body []byte) []byte {
--- a/internal/zoneload/socket/socket.go
+++ b/internal/zoneload/socket/socket.go
@@ -141,8 +141,8 @@
 			from, data := s.socket.Datagram(i)
 			// The queue delay is the difference of two readings of the wall clock. A step of that
 			// clock affects only the datagrams that are in the queue at that moment.
-			if answer := s.handle(h, from, data, s.socket.QueueDelay(time.Now(), i)); answer != nil {
-				answers = append(answers, outgoing{to: from, data: answer})
+			for _, out := range s.handle(h, from, data, s.socket.QueueDelay(time.Now(), i)) {
+				answers = append(answers, outgoing{to: from, data: out})
 			}
 		}
 		if len(answers) == 0 {
@@ -154,8 +154,8 @@
 	}
 }
 
-// handle handles a datagram and returns the datagram of the answer, or nil.
-func (s *Socket) handle(h Handler, from netip.AddrPort, data []byte, queued time.Duration) []byte {
+// handle handles a datagram and returns the datagrams of the answer.
+func (s *Socket) handle(h Handler, from netip.AddrPort, data []byte, queued time.Duration) [][]byte {
 	m, err := Decode(s.signer, data)
 	if err != nil {
 		h.OnError(err)
