--- a/internal/daemon/control/load.go
+++ b/internal/daemon/control/load.go
@@ -19,6 +19,9 @@
 	// the balancers that have not reported yet would show less load than there is. Each balancer
 	// reports once in this time.
 	loadWarmup = schedule.IdleInterval + 50*time.Millisecond
+	// sumInterval is the maximum age of the sums in an answer. Their ages include it. Without it, a
+	// voter with 72 senders would spend most of its time on sums.
+	sumInterval = 10 * time.Millisecond
 	// knownInterval is the maximum age of the counted balancers. Counting thousands of them for
 	// each answer would take most of the time of an answer.
 	knownInterval = time.Second
@@ -39,6 +42,8 @@
 	begun, last time.Time
 	known       map[string]int
 	countedAt   time.Time
+	sums        report.Prepared
+	summedAt    time.Time
 }
 
 // openLoad opens the socket for load reports at the address of the RPCs. If that fails, the voter
@@ -76,28 +81,49 @@
 }
 
 // OnReport stores a balancer's report and answers with the sums by zone.
-func (s *loadService) OnReport(r report.Report, queued time.Duration) (report.Answer, bool) {
+func (s *loadService) OnReport(r report.Report, queued time.Duration) [][]byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
 	if queued >= collector.Lifetime || !s.reports.Add(now.Add(-queued), r) {
 		s.dropped()
-		return report.Answer{}, false
+		return nil
 	}
 	s.answered()
 	if now.Sub(s.last) >= collector.Lifetime {
 		s.begun = now
 	}
 	s.last = now
+	p, err := s.prepared(now)
+	if err != nil {
+		s.OnError(err)
+		return nil
+	}
+	answers, err := p.Encode(r.Sequence, r.Zone)
+	if err != nil {
+		s.OnError(err)
+	}
+	return answers
+}
+
+// prepared returns the sums by zone.
+func (s *loadService) prepared(now time.Time) (report.Prepared, error) {
 	if now.Sub(s.begun) < loadWarmup {
-		return report.Answer{Sequence: r.Sequence}, true
+		return report.Prepared{}, nil
+	}
+	if now.Sub(s.summedAt) < sumInterval {
+		return s.sums, nil
 	}
 	zones := s.reports.Zones(now)
 	s.countBalancers(now)
 	for i := range zones {
 		zones[i].Known = s.known[zones[i].Name]
+		zones[i].Age += sumInterval
 	}
-	return report.Answer{Zones: zones, Sequence: r.Sequence}.Condensed(r.Zone), true
+	var err error
+	s.sums, err = report.Prepare(zones)
+	s.summedAt = now
+	return s.sums, err
 }
 
 func (s *loadService) countBalancers(now time.Time) {
--- a/internal/daemon/cookie/load.go
+++ b/internal/daemon/cookie/load.go
@@ -69,7 +69,7 @@
 	schedule  *schedule.Schedule
 	followers *collector.Collector
 	view      snapshot.Snapshot
-	// viewed is set while any zone of the view is fresh.
+	// viewed is set from when a zone of the view is fresh until the view is lost.
 	viewed bool
 	// sequence is that of the last report, and sent holds when the last reports were sent.
 	sequence uint64
@@ -168,14 +168,13 @@
 
 // logView logs when the view is lost, and when it is back. The caller holds the lock.
 func (x *loadExchange) logView(now time.Time) {
-	fresh := len(x.freshZones(now))
-	if x.viewed == (fresh > 0) {
-		return
-	}
-	x.viewed = fresh > 0
-	if x.viewed {
-		x.settings.log.Info("load of zones known", "Zones", fresh, "Version", x.view.Version)
-	} else {
+	age := x.age(now)
+	switch {
+	case !x.viewed && age <= snapshot.MaxAge:
+		x.viewed = true
+		x.settings.log.Info("load of zones known", "Zones", len(x.freshZones(now)), "Version", x.view.Version)
+	case x.viewed && age > lostAge:
+		x.viewed = false
 		x.settings.log.Warn("load of zones unknown: no answers to load reports", "Version", x.view.Version, "Parent", x.schedule.Parent())
 	}
 }
@@ -192,23 +191,32 @@
 }
 
 // OnReport adds a follower's report and answers with the load of all zones.
-func (x *loadExchange) OnReport(r report.Report, queued time.Duration) (report.Answer, bool) {
+func (x *loadExchange) OnReport(r report.Report, queued time.Duration) [][]byte {
 	now := x.settings.clock()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	switch {
 	case r.Origin == x.settings.self || r.Origin == x.schedule.Parent():
 		x.OnError(&LoadLoopError{Origin: r.Origin})
-		return report.Answer{}, false
+		return nil
 	case r.Zone != x.settings.zone:
 		x.OnError(&ForeignLoadError{Origin: r.Origin, Zone: r.Zone})
-		return report.Answer{}, false
+		return nil
 	case queued >= collector.Lifetime || !x.followers.Add(now.Add(-queued), r):
 		x.OnError(&StaleLoadError{Origin: r.Origin})
-		return report.Answer{}, false
+		return nil
 	}
 	x.settings.counts.loadReportsReceived.Inc(1)
-	return report.Answer{Zones: x.view.Relay(now), Sequence: r.Sequence}, true
+	p, err := report.Prepare(x.view.Relay(now))
+	if err != nil {
+		x.OnError(err)
+		return nil
+	}
+	answers, err := p.Encode(r.Sequence, r.Zone)
+	if err != nil {
+		x.OnError(err)
+	}
+	return answers
 }
 
 // OnAnswer applies the load of all zones that a receiver of a report answered.
@@ -244,15 +252,25 @@
 func (x *loadExchange) state(now time.Time) (age time.Duration, balancers int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	age = maxLoadAge
-	for _, z := range x.view.Zones {
-		age = min(age, now.Sub(z.Measured))
-	}
 	for _, z := range x.freshZones(now) {
 		balancers += z.Balancers
 	}
-	return age, balancers
+	return x.age(now), balancers
+}
+
+// age returns the age of the youngest zone of the view. The caller holds the lock.
+func (x *loadExchange) age(now time.Time) time.Duration {
+	age := maxLoadAge
+	for _, z := range x.view.Zones {
+		age = min(age, now.Sub(z.Measured))
+	}
+	return age
 }
 
-// maxLoadAge is shown as the age of a view that does not exist.
-const maxLoadAge = time.Hour
+const (
+	// maxLoadAge is shown as the age of a view that does not exist.
+	maxLoadAge = time.Hour
+	// lostAge is the age at which the view is logged as lost. In a tree of three levels the age of a
+	// load that does not change may exceed snapshot.MaxAge for moments, which is not worth a line.
+	lostAge = 2 * snapshot.MaxAge
+)
--- a/internal/zoneload/socket/message.go
+++ b/internal/zoneload/socket/message.go
@@ -72,24 +72,6 @@
 	return signed(s, kindReport, body), nil
 }
 
-// EncodeAnswer returns the datagrams of an answer, several if its zones do not fit into one, or a
-// report.SizeError. An answer without zones is sent too: it shows that the receiver takes part.
-func EncodeAnswer(s seal.Signer, a report.Answer) ([][]byte, error) {
-	parts := []report.Answer{a}
-	if len(a.Zones) > 0 {
-		parts = a.Split()
-	}
-	var out [][]byte
-	for _, part := range parts {
-		body, err := part.Encode()
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, signed(s, kindAnswer, body))
-	}
-	return out, nil
-}
-
 func signed(s seal.Signer, kind byte, body []byte) []byte {
 	return s.Sign(append([]byte{kind}, body...))
 }
--- a/internal/zoneload/socket/socket.go
+++ b/internal/zoneload/socket/socket.go
@@ -55,8 +55,8 @@
 // Handler handles what a socket receives. Its methods are called by one goroutine.
 type Handler interface {
 	// OnReport handles a report that waited in the receive queue for the given time, and returns
-	// the answer; false sends none.
-	OnReport(r report.Report, queued time.Duration) (report.Answer, bool)
+	// the encoded answers, none to send none.
+	OnReport(r report.Report, queued time.Duration) [][]byte
 	// OnAnswer handles an answer of the process at an address.
 	OnAnswer(from netip.AddrPort, a report.Answer)
 	// OnError receives the reason why a datagram was dropped, or a ReadError or SendError.
@@ -165,14 +165,9 @@
 		h.OnAnswer(from, *m.Answer)
 		return nil
 	}
-	a, send := h.OnReport(*m.Report, queued)
-	if !send {
-		return nil
-	}
-	out, err := EncodeAnswer(s.signer, a)
-	if err != nil {
-		h.OnError(err)
-		return nil
+	var out [][]byte
+	for _, body := range h.OnReport(*m.Report, queued) {
+		out = append(out, signed(s.signer, kindAnswer, body))
 	}
 	return out
 }
