--- a/internal/cookie/router/choose.go
+++ b/internal/cookie/router/choose.go
@@ -98,18 +98,30 @@
 
 func (c candidate) healthy() bool { return c.target != nil && c.rank == rankHealthy }
 
-// choose returns the upstream of a service for a new flow, or nil if there is none. It
-// prefers lower ranks, then lower cost; upstreams of other zones carry a cost penalty.
-func (r *Router) choose(now time.Time, service string, class configuration.Class) *target {
+// choose returns the upstream of a service for a new flow, or nil if there is none. It prefers
+// lower ranks, then lower cost; upstreams of other zones carry a cost penalty. If the shares of the
+// zones send the flow to another zone, choose compares only upstreams of that zone, and spilled is
+// set. The hash is that of the flow's caller.
+func (r *Router) choose(now time.Time, service string, class configuration.Class, hash uint64) (chosen *target, spilled bool) {
 	p := r.pools[service]
 	if p == nil {
-		return nil
+		return nil, false
 	}
+	r.rotation++
+	if !p.shares.Empty() {
+		if t := r.chooseOtherZone(now, p, class, hash); t != nil {
+			return t, true
+		}
+	}
+	return r.chooseByCost(now, p, class), false
+}
+
+// chooseByCost is choose for a flow that the shares of the zones do not send to another zone.
+func (r *Router) chooseByCost(now time.Time, p *pool, class configuration.Class) *target {
 	penalty := remotePenalty
 	if class == configuration.Upload {
 		penalty = uploadRemotePenalty
 	}
-	r.rotation++
 	best := r.cheapest(now, p.local(), scanCount(p.local()), 0)
 	if best.healthy() && best.cost <= 1+penalty {
 		// No upstream of another zone costs less than 1+penalty.
@@ -178,7 +190,8 @@
 	if !ok || r.flows[p.Flow()] != nil {
 		return true
 	}
-	t := r.choose(now, pickBackend(configured.backends, p.Flow().callerHash()), configured.Class)
+	hash := p.Flow().callerHash()
+	t, _ := r.choose(now, pickBackend(configured.backends, hash), configured.Class, hash)
 	return t == nil || t.openings+t.requests < bufferedPendingMax
 }
 
--- a/internal/cookie/router/cold.go
+++ b/internal/cookie/router/cold.go
@@ -40,13 +40,18 @@
 // balancers sent one upstream 17 flows in a second at a limit of 6. If the rate were divided among
 // all, each balancer could send one flow in twelve seconds; no upstream stays cold for that long.
 func (r *Router) withinColdLimit(now time.Time, t *target) bool {
-	until, bounded := t.coldUntil()
-	if !bounded || !now.Before(until) || r.settings.Off.Has(mechanism.SlowStart) {
+	if t.service.coldRate == 0 || !r.coldRateApplies(now, t) {
 		return true
 	}
 	return t.Zone == r.settings.Zone && t.coldWindow.Allows(now, t.service.coldRate) && r.assignment.Owns(now, t.Incarnation)
 }
 
+// coldRateApplies reports whether an upstream is cold and its service sets a cold rate.
+func (r *Router) coldRateApplies(now time.Time, t *target) bool {
+	until, bounded := t.coldUntil()
+	return bounded && now.Before(until) && !r.settings.Off.Has(mechanism.SlowStart)
+}
+
 // takeColdToken counts a new flow against the rate limit of a cold upstream.
 func (t *target) takeColdToken(now time.Time) {
 	if until, bounded := t.coldUntil(); bounded && now.Before(until) {
--- a/internal/cookie/router/detection.go
+++ b/internal/cookie/router/detection.go
@@ -272,6 +272,7 @@
 		return false
 	}
 	t.voterSuspicion = stored
+	t.noteReduced()
 	r.suspects = append(r.suspects, t)
 	return true
 }
--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -195,6 +195,7 @@
 		z.refusals.decay()
 	}
 	r.updateLossRates()
+	r.updateShares(now)
 	if now.Sub(r.lastSweep) < sweepInterval {
 		return
 	}
--- a/internal/cookie/router/load.go
+++ b/internal/cookie/router/load.go
@@ -7,4 +7,7 @@
 )
 
 // SetLoad sets the latest view of the load of all zones.
-func (r *Router) SetLoad(_ time.Time, s snapshot.Snapshot) { r.zoneLoad = s }
+func (r *Router) SetLoad(now time.Time, s snapshot.Snapshot) {
+	r.zoneLoad = s
+	r.updateShares(now)
+}
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -140,4 +140,9 @@
 	// Limit is the concurrency limit that UnderWay has reached, 0 if the flow is not rejected for
 	// this limit.
 	Limit int
+	// Zone is the other zone to which the load of all zones sends a new flow, empty if the flow was
+	// not placed by it. LoadVersion and LoadAge are the version and the age of the view of the load.
+	Zone        string
+	LoadVersion uint64
+	LoadAge     time.Duration
 }
--- a/internal/cookie/router/place.go
+++ b/internal/cookie/router/place.go
@@ -52,7 +52,7 @@
 	if v, rejected := r.checkAdmission(now, service, configured.Route, hash); rejected && settled {
 		return v
 	}
-	t := r.choose(now, service, configured.Class)
+	t, spilled := r.choose(now, service, configured.Class, hash)
 	if t == nil && r.anyColdLimited(now, service) {
 		return r.rejectCold(now, service)
 	}
@@ -72,11 +72,15 @@
 	}
 	t.takeColdToken(now)
 	r.openFlow(now, k, t)
-	return r.forwardVerdict(t, Placed)
+	v := r.forwardVerdict(t, Placed)
+	if spilled {
+		r.explainSpill(now, &v, t)
+	}
+	return v
 }
 
 // callerHash returns a hash of the caller. It selects the backend of a split route, and the flows
-// that admission control rejects.
+// that admission control rejects or that leave their zone.
 func (k Flow) callerHash() uint64 {
 	a, port := k.Caller.Addr().As4(), k.Caller.Port()
 	b := [6]byte{a[0], a[1], a[2], a[3], byte(port >> 8), byte(port)}
@@ -98,6 +102,7 @@
 	if r.settings.Off.Has(mechanism.Suspicion) || !t.noteUnanswered(now, f.sent) {
 		return
 	}
+	t.noteReduced()
 	if r.settings.Suspected != nil {
 		r.settings.Suspected(t.Target)
 	}
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -9,6 +9,7 @@
 	"wasabideal/internal/metric/minimum"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/evacuation"
+	"wasabideal/internal/placement/zoneshare"
 	"wasabideal/internal/silence/evidence"
 	"wasabideal/internal/upstream/view"
 	"wasabideal/internal/zoneload/snapshot"
@@ -82,6 +83,13 @@
 	evacuations evacuation.Evacuations
 	// zoneLoad is the latest view of the load of all zones; its zero value knows none.
 	zoneLoad snapshot.Snapshot
+	// sharesUpdated is when the shares of new flows by zone were last updated, sharesVersion the
+	// version of the view that they are based on, and ownMeasured when the load of the own zone in
+	// this view was measured. recentZones and zoneLoadsBuffer are reused by updateShares.
+	sharesUpdated, ownMeasured time.Time
+	sharesVersion              uint64
+	recentZones                []namedLoad
+	zoneLoadsBuffer            []zoneshare.Zone
 	// recentHandshakes and handshakes hold the durations of handshakes without a retransmission.
 	// The shortest recent one exceeds the shortest of all by the queueing delay of the VM's link.
 	recentHandshakes, handshakes *minimum.Window
--- a/internal/cookie/router/router_test.go
+++ b/internal/cookie/router/router_test.go
@@ -14,6 +14,7 @@
 	"wasabideal/internal/silence/evidence"
 	"wasabideal/internal/silence/suspicions"
 	"wasabideal/internal/upstream/view"
+	"wasabideal/internal/zoneload/snapshot"
 )
 
 var (
@@ -292,6 +293,66 @@
 	}
 }
 
+// BenchmarkOpeningWithShares is BenchmarkOpening with 3,000 upstreams while half of the flows leave
+// the zone. The shares are updated every 50 ms.
+func BenchmarkOpeningWithShares(b *testing.B) {
+	r := newRouter(b, targetsInZones(3000)...)
+	occupied := map[string]float64{"a": 1200, "b": 300, "c": 300, "d": 300, "e": 300}
+	now := epoch
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		r.SetLoad(now, loads(now, occupied))
+	}
+	b.ReportAllocs()
+	spilled, n := 0, 0
+	var latest snapshot.Snapshot
+	for ; b.Loop(); n++ {
+		now = now.Add(time.Millisecond)
+		if n%500 == 0 {
+			latest = loads(now, occupied)
+		}
+		if n%50 == 0 {
+			r.SetLoad(now, latest)
+		}
+		if r.Route(now, opening(n&0x7fff)).Zone != "" {
+			spilled++
+		}
+		if n%100 == 0 {
+			r.Tick(now)
+		}
+	}
+	b.ReportMetric(float64(spilled)/float64(n), "spilled/op")
+}
+
+// BenchmarkSetLoad updates the shares of 32 services in 18 zones with 21,000 upstreams, one of which
+// in 100 is suspected. Views arrive up to 20 times a second.
+func BenchmarkSetLoad(b *testing.B) {
+	const zones, services, upstreams = 18, 32, 21_000
+	r := router.New(router.Settings{Zone: "a"})
+	name := func(service int) string { return fmt.Sprintf("service-%d", service) }
+	var targets []view.Target
+	for i := range upstreams {
+		x := target(uint64(i+1), name(i%services), string(rune('a'+i/services%zones)))
+		x.Live = i%100 != 0
+		targets = append(targets, x)
+	}
+	require.NoError(b, r.Configure(configured(1)))
+	r.SetTargets(epoch.Add(-time.Minute), targets)
+	load := snapshot.Snapshot{Zones: map[string]snapshot.Zone{}}
+	for z := range zones {
+		zone := string(rune('a' + z))
+		all := map[string]snapshot.Service{}
+		for s := range services {
+			all[name(s)] = snapshot.Service{Occupied: map[string]float64{zone: float64(120 - 6*z), "b": 2, "c": 2}}
+		}
+		load.Zones[zone] = snapshot.Zone{Measured: epoch.Add(time.Hour), Services: all}
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		r.SetLoad(epoch.Add(time.Duration(n)*50*time.Millisecond), load)
+	}
+}
+
 // targetsInZones returns upstreams in five zones if there are more than 100, otherwise in
 // one.
 func targetsInZones(n int) []view.Target {
--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -30,8 +30,6 @@
 	// cookieCollision is set if another upstream has the same cookie; the upstream then
 	// gets no new flows.
 	cookieCollision bool
-	// position is the upstream's location in the pool of its service.
-	position position
 	// openings counts the flows that await the completion of the handshake; requests counts the
 	// flows that await the answer to a request.
 	openings, requests int
@@ -52,6 +50,9 @@
 	// localSuspicion is this balancer's own suspicion.
 	voterSuspicion *voterSuspicion
 	localSuspicion
+	// position is the upstream's location in the pool of its service. It is the last field, so that
+	// the fields compared for each new flow are close to each other in memory.
+	position position
 }
 
 // Cookie folds an incarnation and its start time (born) into the cookie that both ends of a flow
--- a/internal/daemon/cookie/decisionlog.go
+++ b/internal/daemon/cookie/decisionlog.go
@@ -55,6 +55,9 @@
 	if v.Reason == router.Overloaded {
 		args = append(args, "Predicted", v.Predicted.String(), "UnderWay", v.UnderWay, "Limit", v.Limit)
 	}
+	if v.Zone != "" {
+		args = append(args, "Zone", v.Zone, "LoadVersion", v.LoadVersion, "LoadAge", v.LoadAge.String())
+	}
 	if v.Action == router.Forward {
 		args = append(args, "To", v.To.String(), "Live", v.Live)
 	}
--- a/internal/daemon/cookie/metrics.go
+++ b/internal/daemon/cookie/metrics.go
@@ -21,6 +21,7 @@
 	zonesRefused     metrics.Counter
 	unresponsive     metrics.Counter
 	reportedEvents   metrics.Counter
+	flowsSpilled     metrics.Counter
 	opened, answered latency.Latency
 }
 
@@ -34,6 +35,7 @@
 		zonesRefused:   metrics.NewRegisteredCounter("ZonesRefusedTotal", r),
 		unresponsive:   metrics.NewRegisteredCounter("UnresponsiveTotal", r),
 		reportedEvents: metrics.NewRegisteredCounter("SilenceReportedTotal", r),
+		flowsSpilled:   metrics.NewRegisteredCounter("FlowsSpilledTotal", r),
 		opened:         latency.New("Opening", r),
 		answered:       latency.New("Answer", r),
 	}
--- a/internal/daemon/cookie/packets.go
+++ b/internal/daemon/cookie/packets.go
@@ -75,6 +75,9 @@
 // execute counts, logs and carries out the verdict on a packet.
 func (b *Balancer) execute(now time.Time, p router.Packet, data []byte, v router.Verdict) {
 	b.counts.decisions[v.Reason].Inc(1)
+	if v.Zone != "" {
+		b.counts.flowsSpilled.Inc(1)
+	}
 	b.decisionLog.record(b.log, p, v)
 	switch v.Action {
 	case router.Forward:
--- a/internal/placement/zoneshare/zoneshare.go
+++ b/internal/placement/zoneshare/zoneshare.go
@@ -60,6 +60,10 @@
 	Slots float64
 }
 
+// MaySend reports whether the zone uses so many of its slots that flows may have to leave it. If not,
+// and if no flows leave it now, Update changes nothing.
+func (z Zone) MaySend() bool { return bounded(z.Demand) > sendAbove*bounded(z.Slots) }
+
 // share is the share of new flows for one other zone.
 type share struct {
 	zone string
--- a/internal/placement/zoneshare/zoneshare_test.go
+++ b/internal/placement/zoneshare/zoneshare_test.go
@@ -399,6 +399,18 @@
 	})
 }
 
+// The router skips Update for a zone that may not send. A zone that would send all the same would
+// keep its overload.
+func TestOnlyZonesThatMaySendHaveShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		for _, z := range drawZones(t) {
+			var s zoneshare.Shares
+			updateSteadily(&s, epoch, z.Name, append([]zoneshare.Zone{z}, zoneshare.Zone{Name: "z", Slots: 500}))
+			require.Equal(t, z.MaySend(), !s.Empty(), z)
+		}
+	})
+}
+
 // In a steady state, zones that exchange load would use links between zones for nothing, and a
 // receiving zone with more than its free capacity would have to send flows itself.
 func TestSteadySharesFitFreeCapacity(t *testing.T) {
