--- a/internal/cookie/router/load.go
+++ b/internal/cookie/router/load.go
@@ -38,12 +38,13 @@
 
 // SetLoad sets the latest view of the load of all zones. An older view than the one in force is
 // ignored.
-func (r *Router) SetLoad(_ time.Time, s snapshot.Snapshot) {
+func (r *Router) SetLoad(now time.Time, s snapshot.Snapshot) {
 	if s.Version < r.zoneLoad.Version {
 		return
 	}
 	r.zoneLoad = s
 	r.zoneLoadUpdates++
+	r.updateShares(now)
 }
 
 // Load returns the load of this balancer's callers by service, sorted by name. Services without
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -153,4 +153,7 @@
 	// LinkDelay is the queueing delay of the VM's link for which an opening is rejected, 0 if it is
 	// not rejected for it.
 	LinkDelay time.Duration
+	// Zone is the other zone to which the load of all zones sends a new flow, empty if the flow was
+	// not placed by it.
+	Zone string
 }
--- a/internal/cookie/router/zoneadmission.go
+++ b/internal/cookie/router/zoneadmission.go
@@ -76,9 +76,9 @@
 		if z.Measured.Before(oldest) {
 			oldest = z.Measured
 		}
-		u.load.Slots += float64(p.zoneSlots[name])
+		u.load.Slots += float64(p.slotsIn(name))
 		for upstreams, occupied := range z.Services[service].Occupied {
-			if p.zoneSlots[upstreams] > 0 && (upstreams == name || !r.zoneLoad.Zones[upstreams].Measured.Before(expired)) {
+			if p.slotsIn(upstreams) > 0 && (upstreams == name || !r.zoneLoad.Zones[upstreams].Measured.Before(expired)) {
 				u.load.Occupied += occupied
 			}
 		}
--- a/internal/daemon/cookie/decisionlog.go
+++ b/internal/daemon/cookie/decisionlog.go
@@ -58,6 +58,9 @@
 	if v.SlotLimit > 0 {
 		args = append(args, "Use", v.Use, "SlotLimit", v.SlotLimit)
 	}
+	if v.Zone != "" {
+		args = append(args, "Zone", v.Zone)
+	}
 	if v.LoadVersion > 0 {
 		args = append(args, "LoadVersion", v.LoadVersion, "LoadAge", v.LoadAge.String())
 	}
--- a/internal/daemon/cookie/metrics.go
+++ b/internal/daemon/cookie/metrics.go
@@ -22,6 +22,7 @@
 	unresponsive     metrics.Counter
 	reportedEvents   metrics.Counter
 	rejectedUse      metrics.Counter
+	flowsSpilled     metrics.Counter
 	opened, answered latency.Latency
 	// loadReportsDropped counts reports and answers that are stale, undecodable or not expected.
 	loadReportsSent, loadReportsReceived, loadReportsDropped metrics.Counter
@@ -38,6 +39,7 @@
 		unresponsive:   metrics.NewRegisteredCounter("UnresponsiveTotal", r),
 		reportedEvents: metrics.NewRegisteredCounter("SilenceReportedTotal", r),
 		rejectedUse:    metrics.NewRegisteredCounter("FlowsRejectedUseTotal", r),
+		flowsSpilled:   metrics.NewRegisteredCounter("FlowsSpilledTotal", r),
 		opened:         latency.New("Opening", r),
 		answered:       latency.New("Answer", r),
 
--- a/internal/daemon/cookie/packets.go
+++ b/internal/daemon/cookie/packets.go
@@ -86,6 +86,9 @@
 	if v.SlotLimit > 0 {
 		b.counts.rejectedUse.Inc(1)
 	}
+	if v.Zone != "" {
+		b.counts.flowsSpilled.Inc(1)
+	}
 	b.decisionLog.record(b.log, p, v)
 	switch v.Action {
 	case router.Forward:
