--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -51,7 +51,6 @@
 		return
 	}
 	f := r.addFlow(k, flow{target: t, lastPacket: now, opened: now, sent: now, opening: true})
-	t.load.occupied.Advance(now)
 	t.addPending(1, 0)
 	t.noteSent()
 	t.zone.refusals.noteNewFlow(now)
@@ -112,7 +111,6 @@
 	f.lastPacket = now
 	if f.opening {
 		f.opening = false
-		t.load.noteAnswered(now)
 		t.addPending(-1, 0)
 		r.noteHandshake(now, f)
 		r.noteFlowAnswer(now, f)
@@ -144,6 +142,10 @@
 		took := now.Sub(f.sent)
 		r.recentHandshakes.Record(now, took)
 		r.handshakes.Record(now, took)
+		if r.meanHandshake == 0 {
+			r.meanHandshake = took
+		}
+		r.meanHandshake += (took - r.meanHandshake) / handshakesAveraged
 	}
 }
 
@@ -216,9 +218,9 @@
 		case f.opening && now.Sub(f.sent) > openingTTL, now.Sub(f.lastPacket) > flowTTL:
 			r.removeFlow(k, f)
 		case f.requestPending && now.Sub(f.sent) > requestTTL:
+			f.setOverdue(false)
 			f.requestPending = false
 			f.target.addPending(0, -1)
-			f.setOverdue(false)
 		}
 	}
 }
--- a/internal/cookie/router/load.go
+++ b/internal/cookie/router/load.go
@@ -50,15 +50,11 @@
 // Load returns the load of this balancer's callers by service, sorted by name. Services without
 // load are included.
 func (r *Router) Load(now time.Time) []report.Service {
-	transit, known := r.recentHandshakes.Shortest(now)
-	if !known {
-		transit, _ = r.handshakes.Shortest(now)
-	}
 	out := make([]report.Service, 0, len(r.services))
 	for _, name := range slices.Sorted(maps.Keys(r.services)) {
 		s := r.services[name]
 		s.markOverdue(now)
-		out = append(out, s.load.figures(now, name, transit))
+		out = append(out, s.load.figures(now, name, r.meanHandshake))
 	}
 	return out
 }
@@ -116,9 +112,17 @@
 	l.loadedAt, l.admitted, l.rejected = now, [report.Tiers]int{}, [report.Tiers]int{}
 }
 
-// noteAnswered records the end of a pending opening or request, before the caller subtracts it. An
-// answered opening counts as an answered request: its whole duration is transit, since upstreams
-// accept connections without occupying a slot.
+// requestsInFlight returns the number of requests in flight that are not overdue.
+func (l *serviceLoad) requestsInFlight() int {
+	n := 0
+	for _, z := range l.zones {
+		n += z.occupied.InFlight()
+	}
+	return n
+}
+
+// noteAnswered records the end of a pending request, before the caller subtracts it. Openings do not
+// count, since upstreams accept connections without occupying a slot.
 func (z *zoneLoad) noteAnswered(now time.Time) {
 	z.occupied.Advance(now)
 	z.occupied.Answered()
--- a/internal/cookie/router/overdue.go
+++ b/internal/cookie/router/overdue.go
@@ -78,18 +78,20 @@
 	s.requests.expire(now, max(overdueAfter, overdueFactor*s.medianResponseTime), overdue)
 }
 
-// setOverdue sets whether the flow's pending answer is overdue, and updates the service's
-// count of overdue answers.
+// setOverdue sets whether the flow's pending answer is overdue, and updates the service's count of
+// overdue answers. It must be called before requestPending is cleared, since requests that are not
+// overdue occupy slots.
 func (f *flow) setOverdue(overdue bool) {
 	if f.overdue == overdue {
 		return
 	}
 	f.overdue = overdue
-	if overdue {
-		f.target.service.overdue++
-		f.target.load.occupied.Add(-1)
-	} else {
-		f.target.service.overdue--
-		f.target.load.occupied.Add(1)
+	change := 1
+	if !overdue {
+		change = -1
+	}
+	f.target.service.overdue += change
+	if f.requestPending {
+		f.target.load.occupied.Add(-change)
 	}
 }
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -95,6 +95,9 @@
 	// recentHandshakes and handshakes hold the durations of handshakes without a retransmission.
 	// The shortest recent one exceeds the shortest of all by the queueing delay of the VM's link.
 	recentHandshakes, handshakes *minimum.Window
+	// meanHandshake is the moving average of these durations, 0 before the first. It is how long a
+	// request is in transit, the queueing delay of the VM's link included.
+	meanHandshake time.Duration
 	// linkDelayed is set while missing answers say nothing about upstreams.
 	linkDelayed bool
 }
@@ -104,6 +107,9 @@
 	recentHandshakeWindow = 100 * time.Millisecond
 	// handshakeWindow is longer than a link stays full without a break.
 	handshakeWindow = 10 * time.Second
+	// handshakesAveraged is the number of handshakes over which meanHandshake is averaged: less than
+	// 100 ms of new flows at a balancer whose link is nearly full.
+	handshakesAveraged = 16
 )
 
 // route is a configured route with its precomputed backends.
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -104,7 +104,7 @@
 	t.openings += openings
 	t.requests += requests
 	t.service.inFlight += openings + requests
-	t.load.occupied.Add(openings + requests)
+	t.load.occupied.Add(requests)
 }
 
 // checkAdmission reports whether a new flow is rejected because the service is overloaded, and
--- a/internal/cookie/router/zoneadmission.go
+++ b/internal/cookie/router/zoneadmission.go
@@ -37,7 +37,7 @@
 // recordInFlight records the service's requests in flight, which later views are compared with.
 func (r *Router) recordInFlight(now time.Time, s *service) {
 	if r.zoneLoadUpdates > 0 {
-		s.zoneUse.history.Record(now, s.effectiveInFlight())
+		s.zoneUse.history.Record(now, s.load.requestsInFlight())
 	}
 }
 
@@ -85,27 +85,23 @@
 	}
 	u.until = oldest.Add(snapshot.MaxAge)
 	u.known = u.load.Slots > 0
-	u.load.InFlightThen = float64(s.effectiveInFlight())
+	u.load.InFlightThen = float64(s.load.requestsInFlight())
 	if then, known := u.history.Mean(u.measured); known {
 		u.load.InFlightThen = then
 	}
-	u.work = r.work(now, s)
+	u.work = r.work(s)
 }
 
 // work returns how long a request of the service occupies a slot, 0 if unknown.
-func (r *Router) work(now time.Time, s *service) time.Duration {
-	handshake, known := r.recentHandshakes.Shortest(now)
-	if !known {
-		handshake, _ = r.handshakes.Shortest(now)
-	}
-	return max(s.medianResponseTime-handshake, 0)
+func (r *Router) work(s *service) time.Duration {
+	return max(s.medianResponseTime-r.meanHandshake, 0)
 }
 
 // decideByUse decides on a new flow by the load of all zones, which must be known.
 func (s *service) decideByUse(now time.Time, objective time.Duration, k Flow, urgent bool) zoneadmission.Decision {
 	u := &s.zoneUse
 	load := u.load
-	load.InFlight = float64(s.effectiveInFlight())
+	load.InFlight = float64(s.load.requestsInFlight())
 	f := zoneadmission.Flow{Objective: objective, Work: u.work, Urgent: urgent, Caller: k.addressHash()}
 	switch {
 	case urgent && objective > 0:
--- a/internal/zoneload/occupancy/occupancy.go
+++ b/internal/zoneload/occupancy/occupancy.go
@@ -74,8 +74,8 @@
 func (o *Occupancy) InFlight() int { return o.inFlight }
 
 // Slots returns the average number of requests in flight less those in transit, never below 0. Each
-// answered request was in transit for the duration of the shortest handshake.
-func (o *Occupancy) Slots(now time.Time, shortestHandshake time.Duration) float64 {
+// answered request was in transit for the duration of a handshake.
+func (o *Occupancy) Slots(now time.Time, handshake time.Duration) float64 {
 	o.Advance(now)
 	covered := min(o.updated, window+o.updated-(o.end-partLength))
 	if covered <= 0 {
@@ -86,6 +86,6 @@
 		sum.area += p.area
 		sum.answered += p.answered
 	}
-	transit := time.Duration(sum.answered) * shortestHandshake
+	transit := time.Duration(sum.answered) * handshake
 	return max(float64(sum.area-transit)/float64(covered), 0)
 }
