--- a/internal/zoneload/collector/collector.go
+++ b/internal/zoneload/collector/collector.go
@@ -52,7 +52,8 @@
 // last one of its sender, whose figures are too old, or whose sender exceeds the maximum number.
 func (c *Collector) Add(now time.Time, r report.Report) bool {
 	last, known := c.entries[r.Origin]
-	if known && !newer(r, last.report) || r.Age > maxFigureAge || !known && !c.reserve(now) {
+	// After a restart with a clock that was set back, the life is lower than the former one.
+	if known = known && last.held(now) <= rememberedFor; known && !newer(r, last.report) || r.Age > maxFigureAge || !known && !c.reserve(now) {
 		c.dropped++
 		return false
 	}
