--- a/internal/control/feed/fleet.go
+++ b/internal/control/feed/fleet.go
@@ -43,6 +43,13 @@
 	return f.fleet.Zone(zone)
 }
 
+// BalancersByZone returns the number of known balancers of each availability zone.
+func (f *Feed) BalancersByZone() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fleet.CountByZone()
+}
+
 // attachFleet records the polling balancer and adds the balancers of its zone to the response, if
 // their list has changed. Such a change does not complete a poll: a position in the tree that is
 // out of date for a second does no harm.
--- a/internal/control/voter/metrics.go
+++ b/internal/control/voter/metrics.go
@@ -18,6 +18,8 @@
 	rejectedAnnouncements            metrics.Counter
 	acceptLatency, syncLatency       latency.Latency
 	confirmedReads, unconfirmedReads metrics.Counter
+
+	loadReportsReceived, loadReportsDropped metrics.Counter
 }
 
 func newCounts() *counts {
@@ -29,6 +31,8 @@
 		rejectedAnnouncements: metrics.NewRegisteredCounter("AnnouncementsRefusedTotal", r),
 		confirmedReads:        metrics.NewRegisteredCounter("ReadsConfirmedTotal", r),
 		unconfirmedReads:      metrics.NewRegisteredCounter("ReadsRefusedTotal", r),
+		loadReportsReceived:   metrics.NewRegisteredCounter("LoadReportsReceivedTotal", r),
+		loadReportsDropped:    metrics.NewRegisteredCounter("LoadReportsDroppedTotal", r),
 		acceptLatency:         latency.New("Accept", r),
 		syncLatency:           latency.New("DiskSync", r),
 	}
@@ -56,3 +60,9 @@
 
 // CountRejectedAnnouncement counts an announcement that is rejected because it does not identify an upstream.
 func (v *Voter) CountRejectedAnnouncement() { v.counts.rejectedAnnouncements.Inc(1) }
+
+// CountLoadReport counts a balancer's load report that is answered.
+func (v *Voter) CountLoadReport() { v.counts.loadReportsReceived.Inc(1) }
+
+// CountDroppedLoadReport counts a load report that is stale or cannot be decoded.
+func (v *Voter) CountDroppedLoadReport() { v.counts.loadReportsDropped.Inc(1) }
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -70,6 +70,8 @@
 	// SilentAfter is the time without an announcement after which an upstream counts as
 	// silent (see package directory).
 	SilentAfter time.Duration
+	// SharedLoad enables answers to the balancers' load reports.
+	SharedLoad bool
 }
 
 const maxEntriesPerMessage = 256
@@ -89,6 +91,8 @@
 	follower        *follower.Follower
 	remoteUpstreams *remoteUpstreams
 	server          *rpc.Server
+	// load is nil if the balancers' load is not shared.
+	load *loadService
 	// callsLogged is when the numbers of served calls were last logged.
 	callsLogged time.Time
 	cancel      context.CancelFunc
@@ -151,6 +155,7 @@
 	c.voter.Serve(c.server)
 	c.feed.Serve(c.server, c.settings.GroupToken)
 	c.upstreams.Serve(c.server)
+	c.openLoad()
 	return nil
 }
 
@@ -229,6 +234,7 @@
 			c.log.Error("RPC server stopped", "Error", err)
 		}
 	}()
+	c.startLoad()
 }
 
 // Voter returns the voter.
@@ -253,6 +259,7 @@
 		c.cancel()
 	}
 	_ = c.listener.Close()
+	c.closeLoad()
 	c.follower.Wait()
 	c.running.Wait()
 	_ = c.folder.Close()
@@ -262,6 +269,7 @@
 	if c.listener != nil {
 		_ = c.listener.Close()
 	}
+	c.closeLoad()
 	if c.folder != nil {
 		_ = c.folder.Close()
 	}
--- a/internal/fanout/members/members.go
+++ b/internal/fanout/members/members.go
@@ -77,6 +77,15 @@
 // Len returns the number of members of all zones.
 func (m *Members) Len() int { return len(m.byAddress) }
 
+// CountByZone returns the number of members of each availability zone.
+func (m *Members) CountByZone() map[string]int {
+	out := map[string]int{}
+	for _, e := range m.byAddress {
+		out[e.Zone]++
+	}
+	return out
+}
+
 // Zone returns the members of an availability zone, sorted by address.
 func (m *Members) Zone(zone string) []member.Member {
 	var out []member.Member
