--- a/internal/cookie/follower/status.go
+++ b/internal/cookie/follower/status.go
@@ -46,3 +46,15 @@
 	}
 	return s
 }
+
+// ReportReceivers returns the receivers of this balancer's reports: the parent, or "" and the voters
+// that answered their last poll.
+func (f *Follower) ReportReceivers() (parent string, voters []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	targets := f.reportTargets()
+	if f.selection != nil && f.selection.Parent() != "" {
+		return f.selection.Parent(), nil
+	}
+	return "", targets
+}
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -106,9 +106,11 @@
 	socket   *datagram.Socket
 	follower *follower.Follower
 	fanout   *fanout
-	mu       sync.Mutex
-	router   *router.Router
-	view     *view.View
+	// load is nil if the load is not shared.
+	load   *loadExchange
+	mu     sync.Mutex
+	router *router.Router
+	view   *view.View
 	// suspicions holds the voters' reports on upstreams that leave packets unanswered.
 	suspicions *suspicions.Set
 	// suspicionsApplied is when the router last received the suspicions; suspicionPacer
@@ -165,6 +167,7 @@
 		ZoneRefused: b.recordZoneRefusal, Reset: b.recordFlowReset,
 		Opened: b.counts.opened.Record, Answered: b.counts.answered.Record,
 	})
+	b.setUpLoad(self)
 	return b, err
 }
 
@@ -183,6 +186,10 @@
 	if b.uploads != nil {
 		b.goRun(b.runPacing)
 	}
+	if b.load != nil {
+		b.goRun(b.runLoad)
+		b.goRun(func() { b.load.socket.Serve(b.load) })
+	}
 }
 
 func (b *Balancer) goRun(f func()) {
--- a/internal/daemon/cookie/metrics.go
+++ b/internal/daemon/cookie/metrics.go
@@ -22,6 +22,8 @@
 	unresponsive     metrics.Counter
 	reportedEvents   metrics.Counter
 	opened, answered latency.Latency
+	// loadReportsDropped counts reports and answers that are stale, undecodable or not expected.
+	loadReportsSent, loadReportsReceived, loadReportsDropped metrics.Counter
 }
 
 func newCounts() *counts {
@@ -36,6 +38,10 @@
 		reportedEvents: metrics.NewRegisteredCounter("SilenceReportedTotal", r),
 		opened:         latency.New("Opening", r),
 		answered:       latency.New("Answer", r),
+
+		loadReportsSent:     metrics.NewRegisteredCounter("LoadReportsSentTotal", r),
+		loadReportsReceived: metrics.NewRegisteredCounter("LoadReportsReceivedTotal", r),
+		loadReportsDropped:  metrics.NewRegisteredCounter("LoadReportsDroppedTotal", r),
 	}
 	for reason := router.Known; reason <= router.Stray; reason++ {
 		c.decisions[reason] = metrics.NewRegisteredCounter("Packets"+reason.String()+"Total", r)
@@ -57,6 +63,11 @@
 	}
 	b.mu.Unlock()
 	b.setFanoutMetrics(set)
+	if b.load != nil {
+		age, balancers := b.load.state(b.settings.Clock())
+		set("LoadAgeMilliseconds", int(age.Milliseconds()))
+		set("LoadBalancers", balancers)
+	}
 	if err := text.New(b.counts.registry, "wasabideal").Print(w); err != nil {
 		b.log.Warn("failed to write metrics", "Error", err)
 	}
--- a/internal/daemon/cookie/stop.go
+++ b/internal/daemon/cookie/stop.go
@@ -36,6 +36,9 @@
 	if b.fanout != nil {
 		_ = b.fanout.listener.Close()
 	}
+	if b.load != nil {
+		b.load.socket.Close()
+	}
 	b.follower.Wait()
 	b.running.Wait()
 }
