--- a/internal/daemon/control/load_test.go
+++ b/internal/daemon/control/load_test.go
@@ -19,9 +19,23 @@
 	"wasabideal/internal/zoneload/socket"
 )
 
+// listenBoth listens on a TCP port that is free for UDP too. Other processes on the machine may use one
+// only.
+func listenBoth(t *testing.T) net.Listener {
+	for {
+		l := listen(t, "127.0.0.1:0")
+		c, err := net.ListenPacket("udp4", l.Addr().String())
+		if err == nil {
+			require.NoError(t, c.Close())
+			return l
+		}
+		require.NoError(t, l.Close())
+	}
+}
+
 // startLoadVoter starts a single voter that answers load reports if shared is set.
 func startLoadVoter(t *testing.T, shared bool) *control.Control {
-	l := listen(t, "127.0.0.1:0")
+	l := listenBoth(t)
 	self := agreement.Voter{Name: "v1", Address: l.Addr().String()}
 	c, err := control.Listen(control.Settings{
 		Name: "v1", DataFolder: t.TempDir(), Founders: []agreement.Voter{self}, Heartbeat: 30 * time.Millisecond,
@@ -130,7 +144,7 @@
 
 // Another process has the UDP port: the voter must serve without the load exchange.
 func TestVoterServesIfLoadSocketCannotBeOpened(t *testing.T) {
-	l := listen(t, "127.0.0.1:0")
+	l := listenBoth(t)
 	taken, err := net.ListenPacket("udp4", l.Addr().String())
 	require.NoError(t, err)
 	defer func() { require.NoError(t, taken.Close()) }()
--- a/internal/daemon/cookie/load_test.go
+++ b/internal/daemon/cookie/load_test.go
@@ -18,9 +18,29 @@
 	"wasabideal/internal/fanout/tree"
 )
 
+// listenTCP listens on a port that is free for UDP too. Other processes on the machine may use one only.
+func listenTCP(t *testing.T) net.Listener {
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		c, err := net.ListenPacket("udp4", l.Addr().String())
+		if err == nil {
+			require.NoError(t, c.Close())
+			return l
+		}
+		require.NoError(t, l.Close())
+	}
+}
+
+// freeAddress returns an address that is free for TCP and UDP.
+func freeAddress(t *testing.T) string {
+	l := listenTCP(t)
+	require.NoError(t, l.Close())
+	return l.Addr().String()
+}
+
 func startLoadVoter(t *testing.T) *control.Control {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	l := listenTCP(t)
 	self := agreement.Voter{Name: "v1", Address: l.Addr().String()}
 	c, err := control.Listen(control.Settings{
 		Name: "v1", DataFolder: t.TempDir(), Founders: []agreement.Voter{self}, Heartbeat: 10 * time.Millisecond,
@@ -64,7 +84,7 @@
 	voter := startLoadVoter(t)
 	var all []*cookie.Balancer
 	for _, zone := range []string{"a", "a", "a", "b"} {
-		all = append(all, startLoadBalancer(t, voter.Address(), zone, "127.0.0.1:0", true))
+		all = append(all, startLoadBalancer(t, voter.Address(), zone, freeAddress(t), true))
 	}
 	followers := func() int {
 		n := 0
@@ -89,11 +109,7 @@
 // With sharing off, a balancer must not use the UDP port: behaviour and bytes on the wire are then as
 // before.
 func TestBalancerWithoutSharedLoadOpensNoSocket(t *testing.T) {
-	voter := startLoadVoter(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := l.Addr().String()
-	require.NoError(t, l.Close())
+	voter, address := startLoadVoter(t), freeAddress(t)
 	b := startLoadBalancer(t, voter.Address(), "a", address, false)
 	c, err := net.ListenPacket("udp4", address)
 	require.NoError(t, err)
@@ -104,7 +120,7 @@
 // Another process has the UDP port: the balancer must serve without the exchange.
 func TestBalancerServesIfLoadSocketCannotBeOpened(t *testing.T) {
 	voter, backend := startLoadVoter(t), listenUDP(t)
-	taken, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	taken, err := net.ListenPacket("udp4", freeAddress(t))
 	require.NoError(t, err)
 	defer func() { require.NoError(t, taken.Close()) }()
 	b := startLoadBalancer(t, voter.Address(), "a", taken.LocalAddr().String(), true)
