--- a/internal/cookie/router/place.go
+++ b/internal/cookie/router/place.go
@@ -49,7 +49,7 @@
 	hash := k.callerHash()
 	service := pickBackend(configured.backends, hash)
 	settled := now.Sub(r.targetsKnownAt) >= settlePeriod || r.settings.Off.Has(mechanism.Settling)
-	if v, rejected := r.checkAdmission(now, service, configured.Route, k, hash); rejected && settled {
+	if v, rejected := r.checkAdmission(now, service, configured.Route, hash); rejected && settled {
 		r.service(service).load.noteRejected()
 		return v
 	}
@@ -77,21 +77,15 @@
 	return r.forwardVerdict(t, Placed)
 }
 
-// callerHash returns a hash of the caller. It selects the backend of a split route, and the flows
-// that admission control rejects.
+// callerHash returns a hash of the caller's address and port. It selects the backend of a split route,
+// and the flows that admission control rejects: admission by response times uses bits 32 to 47,
+// admission by use bits 48 to 63, so that neither choice depends on the other.
 func (k Flow) callerHash() uint64 {
 	a, port := k.Caller.Addr().As4(), k.Caller.Port()
 	b := [6]byte{a[0], a[1], a[2], a[3], byte(port >> 8), byte(port)}
 	return xxhash.Sum64(b[:])
 }
 
-// addressHash returns a hash of the caller's IP address, which stays the same when the caller
-// retries from another port.
-func (k Flow) addressHash() uint64 {
-	a := k.Caller.Addr().As4()
-	return xxhash.Sum64(a[:])
-}
-
 // noteRetransmission records a retransmitted opening or request. The local suspicion keeps
 // new flows off the upstream even if no voter is reachable. While the link is delayed, the packet was
 // probably retransmitted because it was queued there.
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -108,8 +108,8 @@
 }
 
 // checkAdmission reports whether a new flow is rejected because the service is overloaded, and
-// returns the verdict if so.
-func (r *Router) checkAdmission(now time.Time, name string, route configuration.Route, k Flow, hash uint64) (Verdict, bool) {
+// returns the verdict if so. The hash is that of the flow's caller.
+func (r *Router) checkAdmission(now time.Time, name string, route configuration.Route, hash uint64) (Verdict, bool) {
 	s := r.service(name)
 	s.urgency.Record(now, route.Priority)
 	urgent := s.urgency.Urgent(now, route.Priority)
@@ -117,7 +117,7 @@
 	// The average of the concurrency limit is kept up to date for the time without a fresh view.
 	limit, reached := r.concurrencyReached(now, name, s, route.Class, urgent)
 	if r.updateZoneUse(now, name, s) {
-		d := s.decideByUse(now, route.Objective, k, urgent)
+		d := s.decideByUse(now, route.Objective, hash, urgent)
 		if d.Use < zoneadmission.Idle {
 			return Verdict{}, false
 		}
--- a/internal/cookie/router/zoneadmission.go
+++ b/internal/cookie/router/zoneadmission.go
@@ -101,12 +101,13 @@
 	return max(s.medianResponseTime-handshake, 0)
 }
 
-// decideByUse decides on a new flow by the load of all zones, which must be known.
-func (s *service) decideByUse(now time.Time, objective time.Duration, k Flow, urgent bool) zoneadmission.Decision {
+// decideByUse decides on a new flow by the load of all zones, which must be known. The hash is that of
+// the flow's caller.
+func (s *service) decideByUse(now time.Time, objective time.Duration, hash uint64, urgent bool) zoneadmission.Decision {
 	u := &s.zoneUse
 	load := u.load
 	load.InFlight = float64(s.effectiveInFlight())
-	f := zoneadmission.Flow{Objective: objective, Work: u.work, Urgent: urgent, Caller: k.addressHash()}
+	f := zoneadmission.Flow{Objective: objective, Work: u.work, Urgent: urgent, Number: hash}
 	switch {
 	case urgent && objective > 0:
 		if u.urgentObjectives == nil {
@@ -116,7 +117,7 @@
 	case !urgent && u.urgentObjectives != nil:
 		f.UrgentObjective, _ = u.urgentObjectives.Shortest(now)
 	}
-	return zoneadmission.Decide(now, load, f)
+	return zoneadmission.Decide(load, f)
 }
 
 // useVerdict returns the verdict on a flow that is rejected by the load of all zones.
--- a/internal/overload/zoneadmission/zoneadmission.go
+++ b/internal/overload/zoneadmission/zoneadmission.go
@@ -23,9 +23,6 @@
 	firstRejected = 0.8
 )
 
-// rotation is the time in which the rejection window of each caller returns.
-const rotation = 300 * time.Millisecond
-
 // Load is the load of a service as known at one balancer.
 type Load struct {
 	// Occupied is the number of slots that callers of all zones occupied when the view was
@@ -52,8 +49,9 @@
 	// recent urgent flows, 0 for none.
 	Urgent          bool
 	UrgentObjective time.Duration
-	// Caller is a hash of the caller's IP address, whose bits are evenly distributed.
-	Caller uint64
+	// Number is a hash of the flow, whose highest 16 bits are evenly distributed. It chooses the flows
+	// that are rejected while only a part of them is.
+	Number uint64
 }
 
 // Decision is the decision on a new flow.
@@ -66,9 +64,10 @@
 	RejectedShare float64
 }
 
-// Decide decides on a new flow. The wall-clock time is that of this balancer; the clocks of
-// balancers need not agree.
-func Decide(wall time.Time, l Load, f Flow) Decision {
+// Decide decides on a new flow. All copies of its opening are decided alike at the same load, and a
+// retry, which comes from another port, independently of the attempts before it: callers retry within
+// milliseconds, when a choice that is kept for longer would reject them again.
+func Decide(l Load, f Flow) Decision {
 	d := Decision{Admitted: true, Use: l.Use()}
 	if d.Use < Idle {
 		return d
@@ -76,7 +75,8 @@
 	d.Limit = f.limit()
 	first := firstRejected * d.Limit
 	d.RejectedShare = min(max((d.Use-first)/(d.Limit-first), 0), 1)
-	d.Admitted = d.RejectedShare < 1 && (d.RejectedShare == 0 || !inWindow(wall, f.Caller, d.RejectedShare))
+	const parts = 1 << 16
+	d.Admitted = float64(f.Number>>48) >= d.RejectedShare*parts
 	return d
 }
 
@@ -98,10 +98,3 @@
 	}
 	return min(max(1+wait*float64(objective)/float64(work), least), most)
 }
-
-// inWindow reports whether the caller's rejection window includes the time. Within each rotation, a
-// window is as long as the rejected share and begins at a time of the caller's own.
-func inWindow(wall time.Time, caller uint64, share float64) bool {
-	phase := (uint64(wall.UnixNano()) + caller%uint64(rotation)) % uint64(rotation)
-	return float64(phase) < share*float64(rotation)
-}
