--- a/internal/daemon/cookie/link.go
+++ b/internal/daemon/cookie/link.go
@@ -15,8 +15,9 @@
 	"wasabideal/internal/zoneload/report"
 )
 
-// datagramOverhead is the size of the headers of UDP and IPv4.
-const datagramOverhead = 28
+// datagramOverhead is the size of the headers of UDP, IPv4 and Ethernet. The Ethernet header passes the
+// VM's link, too: without it, links with 1,400 packets a second were 0.08 fuller than the budget.
+const datagramOverhead = 8 + 20 + 14
 
 // linkKind is the kind of a packet in the metrics of the link.
 type linkKind int
--- a/internal/wire/rpc/traffic.go
+++ b/internal/wire/rpc/traffic.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// segmentSize is the usual payload of a TCP segment; segmentOverhead is the size of its headers
-	// with timestamps, IPv4 included.
+	// segmentSize is the usual payload of a TCP segment; segmentOverhead is the size of its headers:
+	// TCP with timestamps, IPv4 and Ethernet.
 	segmentSize     = 1448
-	segmentOverhead = 52
+	segmentOverhead = 32 + 20 + 14
 )
 
 // Traffic counts the bytes of connections, with the headers of their segments. Acknowledgements
