--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -137,9 +137,12 @@
 	return openedHere, retransmitted
 }
 
-// noteHandshake records the duration of a handshake. After a retransmission it is unknown which
+// noteHandshake records the end of a handshake, and its duration. After a retransmission it is unknown which
 // copy of the opening was answered.
 func (r *Router) noteHandshake(now time.Time, f *flow) {
+	if f.sent.After(r.latestCompleted) {
+		r.latestCompleted = f.sent
+	}
 	if !f.retransmitted {
 		took := now.Sub(f.sent)
 		r.recentHandshakes.Record(now, took)
--- a/internal/cookie/router/link.go
+++ b/internal/cookie/router/link.go
@@ -22,6 +22,16 @@
 	return max(recent-base, 0), known
 }
 
+// BaseHandshake returns the duration of the shortest handshake of the last 10 s, and false if there is
+// none.
+func (r *Router) BaseHandshake(now time.Time) (time.Duration, bool) {
+	return r.handshakes.Shortest(now)
+}
+
+// LatestCompleted returns when the latest of the flows whose handshake has completed was placed, zero if
+// there is none.
+func (r *Router) LatestCompleted() time.Time { return r.latestCompleted }
+
 // NewFlow is a flow that an opening requests.
 type NewFlow struct {
 	Class configuration.Class
--- a/internal/cookie/router/link_test.go
+++ b/internal/cookie/router/link_test.go
@@ -82,6 +82,30 @@
 	require.False(t, r.Route(epoch, packet).OpenedHere, "another balancer placed the flow")
 }
 
+// Guards against openings that count as overtaken, or as pending for good: the time is that of the latest
+// flow whose handshake has completed, in any order and after retransmissions.
+func TestLatestCompleted(t *testing.T) {
+	r := newRouter(t, target(1, "orders", "a"))
+	require.Zero(t, r.LatestCompleted())
+	var cookie uint32
+	placed := func(n int) time.Time { return epoch.Add(time.Duration(n) * 10 * time.Millisecond) }
+	for n := range 3 {
+		cookie = r.Route(placed(n), opening(n)).Cookie
+	}
+	repeated := opening(1)
+	repeated.Copy = 1
+	now := epoch.Add(200 * time.Millisecond)
+	r.Route(now, repeated)
+	for _, x := range []struct{ completed, latest int }{{1, 1}, {0, 1}, {2, 2}} {
+		now = now.Add(time.Millisecond)
+		r.Route(now, router.Packet{Caller: caller(x.completed), Address: orders, Cookie: cookie, Sequence: 1, Acknowledged: 1})
+		require.Equal(t, placed(x.latest), r.LatestCompleted())
+	}
+	base, known := r.BaseHandshake(now)
+	require.True(t, known)
+	require.Equal(t, 183*time.Millisecond, base)
+}
+
 func TestNewFlow(t *testing.T) {
 	r := newRouter(t, target(1, "orders", "a"))
 	f, isNew := r.NewFlow(epoch, opening(1))
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -87,6 +87,8 @@
 	// recentHandshakes and handshakes hold the durations of handshakes without a retransmission.
 	// The shortest recent one exceeds the shortest of all by the queueing delay of the VM's link.
 	recentHandshakes, handshakes *minimum.Window
+	// latestCompleted is when the latest of the flows whose handshake has completed was placed.
+	latestCompleted time.Time
 	// linkDelayed is set while missing answers say nothing about upstreams.
 	linkDelayed bool
 }
--- a/internal/daemon/cookie/link.go
+++ b/internal/daemon/cookie/link.go
@@ -193,9 +193,14 @@
 	}
 	l.updated = now
 	l.recordControl(now)
+	if base, known := b.router.BaseHandshake(now); known {
+		l.budget.RecordBase(base)
+	}
 	if delay, known := b.router.LinkDelay(now); known {
 		l.budget.RecordMeasured(now, delay)
 	}
+	l.budget.RecordCompleted(b.router.LatestCompleted())
+	l.budget.RecordPending(now)
 	b.router.SetLinkDelayed(l.budget.Delayed(now))
 }
 
--- a/internal/daemon/cookie/link_test.go
+++ b/internal/daemon/cookie/link_test.go
@@ -186,6 +186,54 @@
 	require.Empty(t, x.router.Reports())
 }
 
+// The queue in front of a link delays handshakes beyond the callers' retransmission timeout, after which
+// none was measured. All openings were admitted while requests of flows placed elsewhere filled the link.
+func TestOpeningsPendingOnFullLinkRejectFlows(t *testing.T) {
+	x := newLinkBalancer(t, true, 0)
+	request := router.Packet{Caller: linkCaller(1), Address: linkRoute, Cookie: router.Cookie(77, 0), Acknowledged: 1, Length: 958}
+	next, pending := 2, []int(nil)
+	// pass receives the given number of bytes in each millisecond, and an opening in every tenth. It
+	// returns how many openings were placed, and when the first one was.
+	pass := func(d time.Duration, bytes int, completes bool) (placed int, first time.Duration) {
+		start, received := x.now, 0
+		for end := x.now.Add(d); x.now.Before(end); {
+			x.now = x.now.Add(time.Millisecond)
+			for received += bytes; received >= 1036; received -= 1036 {
+				request.Sequence += uint32(request.Length)
+				x.handlePacket(request)
+			}
+			if completes {
+				for _, n := range pending {
+					x.handlePacket(router.Packet{Caller: linkCaller(n), Address: linkRoute, Cookie: request.Cookie, Sequence: 1, Acknowledged: 1})
+				}
+				pending = nil
+			}
+			if x.now.UnixMilli()%10 != 0 {
+				continue
+			}
+			before := x.count(router.Placed)
+			x.handlePacket(router.Packet{Caller: linkCaller(next), Address: linkRoute, Opening: true})
+			if x.count(router.Placed) > before {
+				pending = append(pending, next)
+				if placed++; placed == 1 {
+					first = x.now.Sub(start)
+				}
+			}
+			next++
+		}
+		return placed, first
+	}
+	placed, _ := pass(time.Second, 120, true)
+	require.Equal(t, 100, placed)
+	placed, _ = pass(2*time.Second, 200, false)
+	require.Less(t, placed, 25)
+	require.Positive(t, placed)
+	placed, first := pass(time.Second, 120, true)
+	t.Logf("placed %d, the first one after %v", placed, first)
+	require.Less(t, first, 500*time.Millisecond)
+	require.Greater(t, placed, 50)
+}
+
 func BenchmarkRecordOnLink(b *testing.B) {
 	x := newLinkBalancer(b, true, 0)
 	p := router.Packet{Caller: linkCaller(1), Address: linkRoute, Cookie: router.Cookie(77, 0), Sequence: 1, Acknowledged: 1}
@@ -215,6 +263,7 @@
 				}
 				if _, rejected := x.checkLink(now, p); !rejected {
 					x.admitToLink(now, p, placed)
+					x.link.budget.RecordCompleted(now)
 					x.recordOnLink(now, linkbudget.In, &p, &placed, 800)
 					x.recordOnLink(now, linkbudget.Out, &p, &placed, 800)
 				}
--- a/internal/overload/linkbudget/linkbudget.go
+++ b/internal/overload/linkbudget/linkbudget.go
@@ -37,6 +37,12 @@
 	// configured bandwidth needs more, unless a third of the bytes are not counted. Below it,
 	// handshakes take longer for other reasons, such as an upstream in another zone.
 	minMeasuredUse = 0.7
+	// maxMeasuredDelay bounds a measured delay, and exceeds all limits. Handshakes that waited for 2 s
+	// complete when the queue is empty. Without the bound, openings would be rejected for 2 s more.
+	maxMeasuredDelay = 100 * time.Millisecond
+	// unknownBase is the assumed duration of a handshake on an idle link before any is measured: a few
+	// round trips between zones.
+	unknownBase = 100 * time.Millisecond
 	// A pause of minStall without a packet on a link that is mostly used is a pause of the process.
 	// The handshakes that it delayed are the shortest ones for stallHold, their window of 100 ms and
 	// its granularity, and say nothing about the link.
@@ -118,11 +124,14 @@
 	// delayedFor is how long the link still counts as delayed. unmeasuredFor is how long measured
 	// delays are ignored.
 	delayedFor, unmeasuredFor time.Duration
+	openings                  openings
+	// base is the duration of a handshake without a queue.
+	base time.Duration
 }
 
 // New returns the budget of an idle link with the given bandwidth in each direction.
 func New(bytesPerSecond float64) *Link {
-	l := &Link{bandwidth: bytesPerSecond, drain: drainShare * bytesPerSecond}
+	l := &Link{bandwidth: bytesPerSecond, drain: drainShare * bytesPerSecond, base: unknownBase}
 	for i := range l.costs {
 		l.costs[i] = cost{flows: costFlows, bytes: [directions]float64{initialCost * costFlows, initialCost * costFlows}}
 	}
@@ -196,7 +205,23 @@
 	if l.queued[Out] > l.queued[In] {
 		d = Out
 	}
-	l.queued[d] = max(l.queued[d], delay.Seconds()*l.drain)
+	l.queued[d] = max(l.queued[d], min(delay, maxMeasuredDelay).Seconds()*l.drain)
+}
+
+// RecordBase records the duration of a handshake without a queue, as far as known.
+func (l *Link) RecordBase(d time.Duration) { l.base = d }
+
+// RecordCompleted records that the handshake of the flow admitted at the given time is complete, also
+// after a retransmission.
+func (l *Link) RecordCompleted(admitted time.Time) { l.openings.complete(admitted) }
+
+// RecordPending records the queueing delay that pending openings show. While the queue is longer than the
+// callers' retransmission timeout, no handshake completes without a retransmission, and RecordMeasured
+// learns of no delay.
+func (l *Link) RecordPending(now time.Time) {
+	if age := l.openings.age(now); age > l.base {
+		l.RecordMeasured(now, age-l.base)
+	}
 }
 
 // MayReject reports whether Rejects may be true for any flow.
@@ -219,6 +244,7 @@
 // Admit adds the bytes that a flow of the class will cost.
 func (l *Link) Admit(now time.Time, class Class) {
 	l.advance(now)
+	l.openings.add(now)
 	c := &l.costs[class]
 	for d := range directions {
 		l.queued[d] += c.perFlow(d)
--- a/internal/overload/linkbudget/linkbudget_test.go
+++ b/internal/overload/linkbudget/linkbudget_test.go
@@ -23,7 +23,7 @@
 	now = now.Add(time.Duration(rapid.Int64Range(int64(earliest), int64(20*time.Millisecond)).Draw(t, "pause")))
 	d := linkbudget.Direction(rapid.IntRange(int(linkbudget.In), int(linkbudget.Out)).Draw(t, "direction"))
 	size := rapid.IntRange(28, 1500).Draw(t, "size")
-	switch f := drawFlow(t); rapid.IntRange(0, 5).Draw(t, "event") {
+	switch f := drawFlow(t); rapid.IntRange(0, 7).Draw(t, "event") {
 	case 0, 1:
 		if !l.Rejects(now, f) {
 			l.Admit(now, f.Class)
@@ -36,6 +36,10 @@
 		l.RecordPaced(now, d, size)
 	case 5:
 		l.RecordMeasured(now, time.Duration(rapid.IntRange(-50, 500).Draw(t, "measured"))*time.Millisecond)
+	case 6:
+		l.RecordPending(now)
+	case 7:
+		l.RecordCompleted(now.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "handshake")) * time.Millisecond))
 	}
 	return now
 }
@@ -141,6 +145,151 @@
 	require.False(t, l.Delayed(now.Add(400*time.Millisecond)))
 }
 
+// congestion is a link on which the given share of the bandwidth is received every millisecond, by flows
+// admitted before.
+type congestion struct {
+	*linkbudget.Link
+	now     time.Time
+	share   float64
+	pending []time.Time
+}
+
+// newCongestion returns a link at three quarters of its bandwidth, with handshakes of 5 ms.
+func newCongestion() *congestion {
+	c := &congestion{Link: linkbudget.New(bandwidth), now: epoch, share: 0.75}
+	c.RecordBase(5 * time.Millisecond)
+	c.pass(time.Second, func() {})
+	return c
+}
+
+// pass runs a function in each millisecond.
+func (c *congestion) pass(d time.Duration, each func()) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(time.Millisecond)
+		c.RecordAdmitted(c.now, linkbudget.In, linkbudget.Other, int(c.share*bandwidth/1000))
+		each()
+	}
+}
+
+// open opens a flow if it is not rejected, and reports whether it was admitted.
+func (c *congestion) open(f linkbudget.Flow) bool {
+	c.RecordPending(c.now)
+	if c.Rejects(c.now, f) {
+		return false
+	}
+	c.Admit(c.now, f.Class)
+	c.pending = append(c.pending, c.now)
+	return true
+}
+
+// complete completes the handshakes of the flows opened so far.
+func (c *congestion) complete() {
+	for _, at := range c.pending {
+		c.RecordCompleted(at)
+	}
+	c.pending = nil
+}
+
+// A queue of 2 s is in front of the link, so that its whole bandwidth is received, and no handshake
+// completes. All openings were admitted, since only completed handshakes showed a delay.
+func TestPendingOpeningsShowDelay(t *testing.T) {
+	c := newCongestion()
+	c.share = 1
+	began, admitted, lastAdmitted := c.now, 0, c.now
+	c.pass(1990*time.Millisecond, func() {
+		if c.now.UnixMilli()%5 == 0 && c.open(linkbudget.Flow{Urgent: c.now.UnixMilli()%10 == 0}) {
+			admitted, lastAdmitted = admitted+1, c.now
+		}
+	})
+	t.Logf("%d openings admitted, the last one after %v", admitted, lastAdmitted.Sub(began))
+	require.Less(t, lastAdmitted.Sub(began), 120*time.Millisecond)
+	require.Less(t, admitted, 30)
+	require.True(t, c.Delayed(c.now))
+
+	// The queue is empty: the pending handshakes complete, and later ones take 5 ms.
+	c.share = 0.75
+	c.complete()
+	drained, first := c.now, time.Duration(0)
+	c.pass(time.Second, func() {
+		if c.now.UnixMilli()%5 == 0 {
+			c.complete()
+			admitted := c.open(linkbudget.Flow{})
+			if admitted && first == 0 {
+				first = c.now.Sub(drained)
+			}
+			require.True(t, admitted || c.now.Sub(drained) < 500*time.Millisecond)
+		}
+	})
+	t.Logf("first admitted %v after the queue", first)
+	require.Less(t, first, 500*time.Millisecond)
+}
+
+// Guards against delays that pending openings do not show: of two openings, of openings that later
+// ones overtake, and on a link that is used too little, when full upstreams do not answer.
+func TestPendingOpeningsWithoutDelay(t *testing.T) {
+	for _, x := range []struct {
+		name     string
+		share    float64
+		openings int
+		overtake bool
+		delayed  bool
+	}{
+		{"three pending openings", 0.8, 3, false, true},
+		{"two lost packets", 0.8, 2, false, false},
+		{"an upstream that does not answer", 0.8, 10, true, false},
+		{"full upstreams", 0.6, 10, false, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := newCongestion()
+			c.share = x.share
+			c.pass(time.Second, func() {})
+			for range x.openings {
+				require.True(t, c.open(linkbudget.Flow{Urgent: true}))
+				c.pass(5*time.Millisecond, func() {})
+			}
+			if x.overtake {
+				c.Admit(c.now, linkbudget.Other)
+				c.pass(5*time.Millisecond, func() {})
+				c.RecordCompleted(c.now.Add(-5 * time.Millisecond))
+			}
+			c.pass(150*time.Millisecond, func() {})
+			c.RecordPending(c.now)
+			require.Equal(t, x.delayed, c.Rejects(c.now, linkbudget.Flow{}))
+		})
+	}
+}
+
+// A balancer that starts behind a full link knows of no handshake. Guards against one that never learns
+// of the delay, and one that takes a long path for a queue.
+func TestPendingOpeningsWithUnknownBase(t *testing.T) {
+	c := &congestion{Link: linkbudget.New(bandwidth), now: epoch, share: 0.8}
+	c.pass(time.Second, func() {})
+	for range 3 {
+		require.True(t, c.open(linkbudget.Flow{}))
+	}
+	c.pass(90*time.Millisecond, func() {})
+	c.RecordPending(c.now)
+	require.False(t, c.Rejects(c.now, linkbudget.Flow{}))
+	c.pass(60*time.Millisecond, func() {})
+	c.RecordPending(c.now)
+	require.True(t, c.Rejects(c.now, linkbudget.Flow{}))
+}
+
+// Guards against more openings than are kept, which must not hide that the oldest are pending, and
+// against openings that count for good.
+func TestManyPendingOpenings(t *testing.T) {
+	c := newCongestion()
+	for range 1000 {
+		c.Admit(c.now, linkbudget.Other)
+	}
+	c.pass(1990*time.Millisecond, func() {})
+	c.RecordPending(c.now)
+	require.True(t, c.Rejects(c.now, linkbudget.Flow{Urgent: true}))
+	c.pass(500*time.Millisecond, func() {})
+	c.RecordPending(c.now)
+	require.False(t, c.Rejects(c.now, linkbudget.Flow{}))
+}
+
 // The handshakes that end while the process stands still seem to take as long as the pause. Openings
 // were rejected afterwards, so that no shorter handshake was measured.
 func TestHandshakesDelayedByPauseAreIgnored(t *testing.T) {
--- a/internal/overload/linkbudget/replay_test.go
+++ b/internal/overload/linkbudget/replay_test.go
@@ -228,6 +228,10 @@
 	if known {
 		r.link.RecordMeasured(r.time(), recent-base)
 	}
+	if base > 0 {
+		r.link.RecordBase(base)
+	}
+	r.link.RecordPending(r.time())
 }
 
 func (r *replay) forward(size int, admitted bool, run func()) {
@@ -312,6 +316,9 @@
 	r.transmit(linkbudget.In, size, func() {
 		if !c.handshake {
 			c.handshake = true
+			if r.link != nil {
+				r.link.RecordCompleted(epoch.Add(c.openingSeen))
+			}
 			if !c.retransmitted {
 				r.recent.Record(r.time(), r.now-c.openingSeen)
 				r.base.Record(r.time(), r.now-c.openingSeen)
