--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -12,6 +12,10 @@
 	// requestTTL bounds how long a request counts as in flight. If its flow moves to another
 	// balancer, this balancer sees no later packet that would end the request.
 	requestTTL = 2 * time.Second
+	// openedHerePeriod is how long after its placement a flow's packets count as expected: a
+	// handshake and a request, each with a retransmission. Without the bound, all bytes of flows that
+	// live long would count as the cost of the few that are opened.
+	openedHerePeriod = 500 * time.Millisecond
 	// maxFlows bounds the stored flows, about 150 bytes each. Further flows are forwarded
 	// but do not count as load.
 	maxFlows = 100_000
@@ -97,7 +101,7 @@
 
 // noteEstablished updates a flow from a packet of its caller. An acknowledged answer shows
 // that the upstream is alive. A retransmitted request shows that the upstream may be down. It
-// returns whether this balancer placed the flow, and whether the packet is a retransmission.
+// returns whether this balancer placed the flow recently, and whether the packet is a retransmission.
 func (r *Router) noteEstablished(now time.Time, k Flow, t *target, p Packet) (openedHere, retransmitted bool) {
 	f := r.flows[k]
 	if f == nil || f.target != t {
@@ -129,7 +133,7 @@
 			r.recordResponseTime(now, f, r.Class(p.Address))
 		}
 	}
-	openedHere, retransmitted = !f.opened.IsZero(), r.noteData(now, f, t, p)
+	openedHere, retransmitted = now.Sub(f.opened) < openedHerePeriod, r.noteData(now, f, t, p)
 	if p.Finish || p.Reset {
 		t.load.occupied.Advance(now)
 		r.removeFlow(k, f)
--- a/internal/cookie/router/link_test.go
+++ b/internal/cookie/router/link_test.go
@@ -80,6 +80,10 @@
 	require.True(t, r.Route(epoch, packet).OpenedHere)
 	packet.Caller = caller(2)
 	require.False(t, r.Route(epoch, packet).OpenedHere, "another balancer placed the flow")
+	r.Route(epoch, opening(3))
+	packet.Caller, packet.Finish = caller(3), false
+	require.True(t, r.Route(epoch.Add(499*time.Millisecond), packet).OpenedHere)
+	require.False(t, r.Route(epoch.Add(500*time.Millisecond), packet).OpenedHere, "the flow is no longer new")
 }
 
 // Guards against openings that count as overtaken, or as pending for good: the time is that of the latest
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -133,8 +133,9 @@
 	Revision uint64
 	Sequence uint64
 	Live     bool
-	// OpenedHere is set for a packet of a known flow that this balancer placed. Retransmitted is
-	// set if the packet repeats data that passed this balancer before.
+	// OpenedHere is set for a packet of a known flow that this balancer placed within
+	// openedHerePeriod. Retransmitted is set if the packet repeats data that passed this balancer
+	// before.
 	OpenedHere, Retransmitted bool
 	// Predicted and UnderWay explain an overload: the predicted response time of a request,
 	// and the number of the service's pending openings and requests that are not overdue.
--- a/internal/daemon/cookie/link_test.go
+++ b/internal/daemon/cookie/link_test.go
@@ -234,6 +234,44 @@
 	require.Greater(t, placed, 50)
 }
 
+// Most flows on a link live long, and few are opened. Their later requests counted as the cost of new
+// flows: a link at 0.4 of its bandwidth rejected openings, since each was assumed to cost as many bytes
+// as it carried between two openings.
+func TestLongLivedFlowsDoNotCloseLink(t *testing.T) {
+	x := newLinkBalancer(t, true, 0)
+	cookie := router.Cookie(77, 0)
+	const flows = 50
+	sequence := [flows]uint32{}
+	for n := range flows {
+		x.now = x.now.Add(20 * time.Millisecond)
+		x.handlePacket(router.Packet{Caller: linkCaller(n), Address: linkRoute, Opening: true})
+		x.handlePacket(router.Packet{Caller: linkCaller(n), Address: linkRoute, Cookie: cookie, Sequence: 1, Acknowledged: 1})
+		sequence[n] = 1
+	}
+	placed, opened, highest := x.count(router.Placed), 0, time.Duration(0)
+	for i := range 30_000 {
+		x.now = x.now.Add(time.Millisecond)
+		if i%10 == 0 {
+			n := i / 10 % flows
+			x.handlePacket(router.Packet{
+				Caller: linkCaller(n), Address: linkRoute, Cookie: cookie, Sequence: sequence[n], Acknowledged: uint32(i + 2), Length: 922,
+			})
+			sequence[n] += 922
+		}
+		if i > 10_000 && (i%600 == 0 || i%600 == 5) {
+			opened++
+			caller := linkCaller(1000 + i)
+			x.handlePacket(router.Packet{Caller: caller, Address: linkRoute, Opening: true})
+			x.handlePacket(router.Packet{Caller: caller, Address: linkRoute, Cookie: cookie, Sequence: 1, Acknowledged: 1})
+		}
+		highest = max(highest, x.linkState().Delay)
+	}
+	t.Logf("use %.2f, queue up to %v, flow assumed to cost %d bytes", x.linkState().Use, highest, x.link.budget.Cost(linkbudget.Idempotent, linkbudget.In))
+	require.Equal(t, opened, x.count(router.Placed)-placed)
+	require.Zero(t, x.count(router.Busy))
+	require.Less(t, highest, 20*time.Millisecond)
+}
+
 func BenchmarkRecordOnLink(b *testing.B) {
 	x := newLinkBalancer(b, true, 0)
 	p := router.Packet{Caller: linkCaller(1), Address: linkRoute, Cookie: router.Cookie(77, 0), Sequence: 1, Acknowledged: 1}
