--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -98,6 +98,8 @@
 	// meanHandshake is the moving average of these durations, 0 before the first. It is how long a
 	// request is in transit, the queueing delay of the VM's link included.
 	meanHandshake time.Duration
+	// latestCompleted is when the latest of the flows whose handshake has completed was placed.
+	latestCompleted time.Time
 	// linkDelayed is set while missing answers say nothing about upstreams.
 	linkDelayed bool
 }
--- a/internal/daemon/cookie/link.go
+++ b/internal/daemon/cookie/link.go
@@ -9,14 +9,17 @@
 	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/cookie/router"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/overload/egress"
 	"wasabideal/internal/overload/linkbudget"
 	"wasabideal/internal/overload/uplink"
 	"wasabideal/internal/wire/rpc"
 	"wasabideal/internal/zoneload/report"
 )
 
-// datagramOverhead is the size of the headers of UDP and IPv4.
-const datagramOverhead = 28
+// datagramOverhead is the size of the headers of UDP and IPv4, and of the frame: header, checksum,
+// preamble and gap of Ethernet. On the platform a link of 2 Mbit/s carries 2,450 datagrams of 36 bytes a
+// second.
+const datagramOverhead = 8 + 20 + 38
 
 // linkKind is the kind of a packet in the metrics of the link.
 type linkKind int
@@ -36,6 +39,10 @@
 // link decides which new flows the VM's narrow link can carry, and accounts its packets.
 type link struct {
 	budget *linkbudget.Link
+	// egress is the queue of the outgoing direction, and dropped counts the packets that were
+	// dropped before it was full.
+	egress  *egress.Link
+	dropped metrics.Counter
 	// control counts the bytes of control messages; countedIn and countedOut are those already
 	// added to the budget.
 	control               rpc.Traffic
@@ -47,9 +54,10 @@
 	address  netip.AddrPort
 	class    configuration.Class
 	revision uint64
-	// rejectedSinceLog is the number of openings rejected since logged, the time of the last line.
-	rejectedSinceLog int
-	logged           time.Time
+	// rejectedSinceLog and droppedSinceLog are the numbers of openings rejected and of packets
+	// dropped since logged, the time of the last line.
+	rejectedSinceLog, droppedSinceLog int
+	logged                            time.Time
 	rejected         metrics.Counter
 	// bytes are the counted bytes by direction and kind. Those since the last read of the metrics
 	// are in unread: packets would otherwise pay for two atomic additions each.
@@ -64,6 +72,8 @@
 	}
 	l := &link{
 		budget:   linkbudget.New(s.LinkBytesPerSecond),
+		egress:   egress.New(s.LinkBytesPerSecond),
+		dropped:  metrics.NewRegisteredCounter("LinkPacketsDroppedTotal", r),
 		rejected: metrics.NewRegisteredCounter("FlowsRejectedLinkTotal", r),
 	}
 	for k, name := range linkKindNames {
@@ -95,6 +105,7 @@
 	}
 	if out > l.countedOut {
 		l.recordOther(now, linkbudget.Out, kindControl, int(out-l.countedOut))
+		l.egress.Sent(now, int(out-l.countedOut))
 	}
 	l.countedIn, l.countedOut = in, out
 }
@@ -168,6 +179,25 @@
 	}
 }
 
+// maySend reports whether the link can carry an outgoing datagram; length is its size. Otherwise the
+// datagram must be dropped.
+func (b *Balancer) maySend(now time.Time, v *router.Verdict, length int) bool {
+	l := b.link
+	if l == nil {
+		return true
+	}
+	kind := egress.Ordinary
+	if v.Reason == router.Repeated {
+		kind = egress.RetransmittedOpening
+	}
+	if l.egress.Send(now, kind, length+datagramOverhead) {
+		return true
+	}
+	l.dropped.Inc(1)
+	l.droppedSinceLog++
+	return false
+}
+
 // recordReset records a reset that is sent to a caller.
 func (b *Balancer) recordReset(now time.Time, length int) {
 	if b.link != nil {
@@ -180,6 +210,7 @@
 	if b.link != nil {
 		b.link.unread[linkbudget.Out][kindData] += length + datagramOverhead
 		b.link.budget.RecordPaced(now, linkbudget.Out, length+datagramOverhead)
+		b.link.egress.Sent(now, length+datagramOverhead)
 	}
 }
 
@@ -192,9 +223,14 @@
 	}
 	l.updated = now
 	l.recordControl(now)
+	if base, known := b.router.BaseHandshake(now); known {
+		l.budget.RecordBase(base)
+	}
 	if delay, known := b.router.LinkDelay(now); known {
 		l.budget.RecordMeasured(now, delay)
 	}
+	l.budget.RecordCompleted(b.router.LatestCompleted())
+	l.budget.RecordPending(now)
 	b.router.SetLinkDelayed(l.budget.Delayed(now))
 }
 
@@ -247,12 +283,12 @@
 // logLinkAdmission logs the state of the link once a second while openings are rejected.
 func (b *Balancer) logLinkAdmission(now time.Time) {
 	l := b.link
-	if l == nil || l.rejectedSinceLog == 0 || now.Sub(l.logged) < summaryInterval {
+	if l == nil || l.rejectedSinceLog+l.droppedSinceLog == 0 || now.Sub(l.logged) < summaryInterval {
 		return
 	}
 	state := b.linkState()
-	b.log.Info("link admission", "Rejected", l.rejectedSinceLog, "LinkDelay", state.Delay.String(), "Use", state.Use)
-	l.logged, l.rejectedSinceLog = now, 0
+	b.log.Info("link admission", "Rejected", l.rejectedSinceLog, "Dropped", l.droppedSinceLog, "LinkDelay", state.Delay.String(), "Use", state.Use)
+	l.logged, l.rejectedSinceLog, l.droppedSinceLog = now, 0, 0
 }
 
 // setLinkMetrics sets the gauges of the link and updates its counters. The caller holds the lock.
--- a/internal/daemon/cookie/packets.go
+++ b/internal/daemon/cookie/packets.go
@@ -97,12 +97,18 @@
 		}
 		b.recordUnpaced(now, len(data))
 		*b.output() = b.settings.Codec.Forward((*b.output())[:0], data, v)
+		if !b.maySend(now, &v, len(*b.output())) {
+			return
+		}
 		b.recordOnLink(now, linkbudget.Out, &p, &v, len(*b.output()))
 		b.socket.Queue(v.To, *b.output())
 		b.outputsUsed++
 	case router.Reset:
 		to, out := b.settings.Codec.Reset((*b.output())[:0], p)
 		*b.output() = out
+		if !b.maySend(now, &v, len(out)) {
+			return
+		}
 		b.recordReset(now, len(out))
 		b.socket.Queue(to, out)
 		b.outputsUsed++
