--- a/internal/cookie/router/zoneadmission.go
+++ b/internal/cookie/router/zoneadmission.go
@@ -20,8 +20,8 @@
 	updates, changes uint64
 	// until is when the first zone's entry becomes too old.
 	until time.Time
-	// known is whether the view has a fresh entry of this balancer's zone, and upstreams may be
-	// used in zones with a fresh entry.
+	// known is whether the view has an entry of this balancer's zone that counts, and upstreams may be
+	// used in zones with such an entry.
 	known bool
 	// measured is when the entry of this balancer's zone was measured.
 	measured time.Time
@@ -57,17 +57,17 @@
 }
 
 // computeZoneUse computes the service's zoneUse from the view and the pool. Slots in zones without a
-// fresh entry, and in evacuated zones, count neither as slots nor as occupied: only open flows use
-// them. If a fresh entry leaves the service out, its use is unknown.
+// fresh entry of at least half of the balancers, and in evacuated zones, count neither as slots nor as
+// occupied: only open flows use them. If a fresh entry leaves the service out, its use is unknown.
 func (r *Router) computeZoneUse(now time.Time, service string, s *service, p *pool) {
 	u := &s.zoneUse
 	u.known, u.measured, u.load = false, r.zoneLoad.Zones[r.settings.Zone].Measured, zoneadmission.Load{}
-	if now.Sub(u.measured) > snapshot.MaxAge {
+	if !countsForUse(now, r.zoneLoad.Zones[r.settings.Zone]) {
 		return
 	}
-	oldest, expired := u.measured, now.Add(-snapshot.MaxAge)
+	oldest := u.measured
 	for name, z := range r.zoneLoad.Zones {
-		if z.Measured.Before(expired) {
+		if !countsForUse(now, z) {
 			continue
 		}
 		if !z.Knows(service) {
@@ -78,7 +78,7 @@
 		}
 		u.load.Slots += float64(p.zoneSlots[name])
 		for upstreams, occupied := range z.Services[service].Occupied {
-			if p.zoneSlots[upstreams] > 0 && (upstreams == name || !r.zoneLoad.Zones[upstreams].Measured.Before(expired)) {
+			if p.zoneSlots[upstreams] > 0 && (upstreams == name || countsForUse(now, r.zoneLoad.Zones[upstreams])) {
 				u.load.Occupied += occupied
 			}
 		}
@@ -92,6 +92,11 @@
 	u.work = r.work(now, s)
 }
 
+// countsForUse reports whether a zone's entry is fresh and representative.
+func countsForUse(now time.Time, z snapshot.Zone) bool {
+	return now.Sub(z.Measured) <= snapshot.MaxAge && z.Representative()
+}
+
 // work returns how long a request of the service occupies a slot, 0 if unknown.
 func (r *Router) work(now time.Time, s *service) time.Duration {
 	handshake, known := r.recentHandshakes.Shortest(now)
--- a/internal/cookie/router/zoneadmission_test.go
+++ b/internal/cookie/router/zoneadmission_test.go
@@ -14,6 +14,7 @@
 	"wasabideal/internal/cookie/router"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/upstream/view"
+	"wasabideal/internal/zoneload/report"
 	"wasabideal/internal/zoneload/snapshot"
 )
 
@@ -143,6 +144,40 @@
 	require.Equal(t, router.Forward, ordinary.Action)
 }
 
+// A fresh view may include few balancers, while others change their parent or run an older build.
+// Their load then seemed to be the zone's: flows of a full service were admitted without limit.
+func TestViewOfFewBalancersDoesNotDecide(t *testing.T) {
+	for _, c := range []struct {
+		included int
+		decides  bool
+	}{{1, false}, {14, false}, {15, true}, {30, true}} {
+		rejected := [2]int{}
+		for i, zone := range []string{"a", "b"} {
+			r := admissionRouter(t, 0)
+			r.SetBalancers(30)
+			entry := func(name string, balancers int) report.Zone {
+				return report.Zone{
+					Name: name, Balancers: balancers, Known: 30,
+					Services: []report.Service{{Name: "orders", Occupied: map[string]float64{name: 0.5}}},
+				}
+			}
+			for n := range 200 {
+				now := epoch.Add(time.Duration(n) * 10 * time.Millisecond)
+				zones := []report.Zone{entry("a", 30), entry("b", 30)}
+				zones[i] = entry(zone, c.included)
+				r.SetLoad(now, snapshot.Snapshot{Version: uint64(n)}.With(now, zones))
+				for k := range 2 {
+					if r.Route(now, opening(1000+2*n+k)).Reason == router.Overloaded {
+						rejected[i]++
+					}
+				}
+			}
+		}
+		require.Equal(t, c.decides, rejected[0] == 0, "%d of 30 balancers of the own zone", c.included)
+		require.Zero(t, rejected[1], "the own zone is used at 0.1")
+	}
+}
+
 // Guards against rejections while half of the slots of all zones are free: the limit of each balancer
 // used to reject callers of the zone with the highest load per balancer, and slow responses of a few
 // upstreams those of any zone.
--- a/internal/zoneload/snapshot/snapshot.go
+++ b/internal/zoneload/snapshot/snapshot.go
@@ -58,6 +58,12 @@
 	return listed || !z.Partial
 }
 
+// Representative reports whether the entry includes at least half of the zone's known balancers. The
+// figures of fewer are scaled by too little, so that an overloaded zone may seem hardly used.
+func (z Zone) Representative() bool {
+	return z.received.Balancers == 0 || maxScale*z.received.Balancers >= z.received.Known
+}
+
 // Demand returns the number of slots that the zone's callers occupy at a service, in all zones.
 func (z Zone) Demand(service string) float64 {
 	sum := 0.0
--- a/internal/zoneload/snapshot/snapshot_test.go
+++ b/internal/zoneload/snapshot/snapshot_test.go
@@ -45,11 +45,13 @@
 	for _, c := range []struct {
 		balancers, known int
 		scale            float64
-	}{{30, 33, 1.1}, {10, 30, 2}, {33, 30, 1}, {5, 0, 1}, {0, 30, 1}} {
+		representative   bool
+	}{{30, 33, 1.1, true}, {15, 30, 2, true}, {14, 30, 2, false}, {10, 30, 2, false}, {33, 30, 1, true}, {5, 0, 1, true}, {0, 30, 1, true}} {
 		s := snapshot.Snapshot{}.With(epoch, []report.Zone{zone("a", 0, c.balancers, c.known, 10)})
 		z, fresh := s.Zone(epoch, "a")
 		require.True(t, fresh)
 		require.Equal(t, c.balancers, z.Balancers)
+		require.Equal(t, c.representative, z.Representative())
 		require.InDelta(t, 10*c.scale, z.Demand("orders"), 1e-9)
 		require.InDelta(t, 20*c.scale, z.Services["orders"].Admitted[report.Urgent], 1e-9)
 		require.InDelta(t, c.scale, z.Services["orders"].Rejected[report.Ordinary], 1e-9)
