--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"wasabideal/internal/model/configuration"
 )
 
 const (
@@ -34,6 +36,9 @@
 	opened time.Time
 	// opening is set until the caller completes the handshake.
 	opening bool
+	// upload is set if the flow's route has the class Upload. Its requests do not count as occupied
+	// slots.
+	upload bool
 	// sent is when the pending opening or request was first sent.
 	sent           time.Time
 	requestPending bool
@@ -50,13 +55,13 @@
 	nextSequence, acknowledged uint32
 }
 
-func (r *Router) openFlow(now time.Time, k Flow, t *target) {
+func (r *Router) openFlow(now time.Time, k Flow, t *target, class configuration.Class) {
 	if len(r.flows) >= maxFlows {
 		return
 	}
-	f := r.addFlow(k, flow{target: t, lastPacket: now, opened: now, sent: now, opening: true})
+	f := r.addFlow(k, flow{target: t, lastPacket: now, opened: now, sent: now, opening: true, upload: class == configuration.Upload})
 	t.load.occupied.Advance(now)
-	t.addPending(1, 0)
+	f.addPending(1, 0)
 	t.noteSent()
 	t.zone.refusals.noteNewFlow(now)
 	f.awaitAnswer(now)
@@ -81,10 +86,10 @@
 // reused entry is not marked overdue.
 func (f *flow) release() {
 	if f.opening {
-		f.target.addPending(-1, 0)
+		f.addPending(-1, 0)
 	}
 	if f.requestPending {
-		f.target.addPending(0, -1)
+		f.addPending(0, -1)
 	}
 	f.setOverdue(false)
 	f.opening, f.requestPending = false, false
@@ -111,13 +116,13 @@
 		if len(r.flows) >= maxFlows {
 			return false, false
 		}
-		f = r.addFlow(k, flow{target: t, nextSequence: p.Sequence, acknowledged: p.Acknowledged})
+		f = r.addFlow(k, flow{target: t, nextSequence: p.Sequence, acknowledged: p.Acknowledged, upload: r.Class(p.Address) == configuration.Upload})
 	}
 	f.lastPacket = now
 	if f.opening {
 		f.opening = false
-		t.load.noteAnswered(now)
-		t.addPending(-1, 0)
+		f.noteAnswered(now)
+		f.addPending(-1, 0)
 		r.noteHandshake(now, f)
 		r.noteFlowAnswer(now, f)
 		notify(r.settings.Opened, now.Sub(f.sent))
@@ -128,8 +133,8 @@
 		r.noteFlowAnswer(now, f)
 		if f.requestPending {
 			f.requestPending = false
-			t.load.noteAnswered(now)
-			t.addPending(0, -1)
+			f.noteAnswered(now)
+			f.addPending(0, -1)
 			r.recordResponseTime(now, f, r.Class(p.Address))
 		}
 	}
@@ -178,7 +183,7 @@
 			f.retransmitted, f.reported = false, false
 			t.noteSent()
 			t.load.occupied.Advance(now)
-			t.addPending(0, 1)
+			f.addPending(0, 1)
 			f.awaitAnswer(now)
 		}
 		return false
@@ -223,7 +228,7 @@
 			r.removeFlow(k, f)
 		case f.requestPending && now.Sub(f.sent) > requestTTL:
 			f.requestPending = false
-			f.target.addPending(0, -1)
+			f.addPending(0, -1)
 			f.setOverdue(false)
 		}
 	}
--- a/internal/cookie/router/load.go
+++ b/internal/cookie/router/load.go
@@ -19,6 +19,8 @@
 type serviceLoad struct {
 	// zones holds the load by availability zone of the upstreams, in the order of appearance.
 	zones []*zoneLoad
+	// inFlight is the number of pending openings and requests that are neither overdue nor uploads.
+	inFlight int
 	// tier is the tier of the flow that is being decided.
 	tier int
 	// admitted and rejected count the new flows since the last Load; admittedRate and
@@ -118,7 +120,19 @@
 // noteAnswered records the end of a pending opening or request, before the caller subtracts it. An
 // answered opening counts as an answered request: its whole duration is transit, since upstreams
 // accept connections without occupying a slot.
-func (z *zoneLoad) noteAnswered(now time.Time) {
-	z.occupied.Advance(now)
-	z.occupied.Answered()
+func (f *flow) noteAnswered(now time.Time) {
+	if f.upload {
+		return
+	}
+	f.target.load.occupied.Advance(now)
+	f.target.load.occupied.Answered()
+}
+
+// addOccupied adds to the requests that occupy slots, unless they are uploads: these are in transit for
+// most of their time, 0.3 s for 40 kB on a link of 2 Mbit/s, and would fill all slots.
+func (f *flow) addOccupied(n int) {
+	if !f.upload {
+		f.target.load.occupied.Add(n)
+		f.target.service.load.inFlight += n
+	}
 }
--- a/internal/cookie/router/overdue.go
+++ b/internal/cookie/router/overdue.go
@@ -87,9 +87,9 @@
 	f.overdue = overdue
 	if overdue {
 		f.target.service.overdue++
-		f.target.load.occupied.Add(-1)
+		f.addOccupied(-1)
 	} else {
 		f.target.service.overdue--
-		f.target.load.occupied.Add(1)
+		f.addOccupied(1)
 	}
 }
--- a/internal/cookie/router/place.go
+++ b/internal/cookie/router/place.go
@@ -73,7 +73,7 @@
 	}
 	t.takeColdToken(now)
 	t.service.load.noteAdmitted()
-	r.openFlow(now, k, t)
+	r.openFlow(now, k, t, configured.Class)
 	return r.forwardVerdict(t, Placed)
 }
 
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -99,12 +99,13 @@
 // effectiveInFlight returns the number of pending openings and requests that are not overdue.
 func (s *service) effectiveInFlight() int { return s.inFlight - s.overdue }
 
-// addPending adds to the pending openings and requests of an upstream and its service.
-func (t *target) addPending(openings, requests int) {
+// addPending adds to the pending openings and requests of the flow's upstream and its service.
+func (f *flow) addPending(openings, requests int) {
+	t := f.target
 	t.openings += openings
 	t.requests += requests
 	t.service.inFlight += openings + requests
-	t.load.occupied.Add(openings + requests)
+	f.addOccupied(openings + requests)
 }
 
 // checkAdmission reports whether a new flow is rejected because the service is overloaded, and
--- a/internal/cookie/router/zoneadmission.go
+++ b/internal/cookie/router/zoneadmission.go
@@ -34,10 +34,11 @@
 	urgentObjectives *minimum.Window
 }
 
-// recordInFlight records the service's requests in flight, which later views are compared with.
+// recordInFlight records the service's requests in flight without uploads, which later views are compared
+// with.
 func (r *Router) recordInFlight(now time.Time, s *service) {
 	if r.zoneLoadUpdates > 0 {
-		s.zoneUse.history.Record(now, s.effectiveInFlight())
+		s.zoneUse.history.Record(now, s.load.inFlight)
 	}
 }
 
@@ -85,7 +86,7 @@
 	}
 	u.until = oldest.Add(snapshot.MaxAge)
 	u.known = u.load.Slots > 0
-	u.load.InFlightThen = float64(s.effectiveInFlight())
+	u.load.InFlightThen = float64(s.load.inFlight)
 	if then, known := u.history.Mean(u.measured); known {
 		u.load.InFlightThen = then
 	}
@@ -111,7 +112,7 @@
 func (s *service) decideByUse(now time.Time, objective time.Duration, hash uint64, urgent bool) zoneadmission.Decision {
 	u := &s.zoneUse
 	load := u.load
-	load.InFlight = float64(s.effectiveInFlight())
+	load.InFlight = float64(s.load.inFlight)
 	f := zoneadmission.Flow{Objective: objective, Work: u.work, Urgent: urgent, Number: hash}
 	switch {
 	case urgent && objective > 0:
--- a/internal/cookie/router/zoneadmission_test.go
+++ b/internal/cookie/router/zoneadmission_test.go
@@ -393,6 +393,64 @@
 	}
 }
 
+// Uploads of 40 kB over a link of 2 Mbit/s are in flight for 0.3 s, and occupy a slot for a few
+// milliseconds of them. They counted as occupied for the whole time, and their growth as that of the
+// load, so that ordinary flows were rejected while most slots were free.
+func TestUploadsInTransitOccupyNoSlots(t *testing.T) {
+	r := router.New(router.Settings{Zone: "a"})
+	require.NoError(t, r.Configure(configuration.Configuration{Revision: 1, Routes: []configuration.Route{
+		{Name: "orders", Address: orders, Service: "orders", Objective: 100 * time.Millisecond, Priority: 1},
+		{Name: "uploads", Address: notes, Service: "orders", Class: configuration.Upload, Priority: 1},
+	}}))
+	r.SetTargets(epoch.Add(-time.Minute), []view.Target{target(1, "orders", "a"), target(2, "orders", "a")})
+	r.SetBalancers(1)
+	type upload struct {
+		packet router.Packet
+		sent   time.Time
+	}
+	var uploads []upload
+	occupied := func(now time.Time) float64 {
+		load, _ := lo.Find(r.Load(now), func(s report.Service) bool { return s.Name == "orders" })
+		return load.Occupied["a"]
+	}
+	for i := range 300 {
+		now := epoch.Add(time.Duration(i) * 10 * time.Millisecond)
+		if i%5 == 0 {
+			r.SetLoad(now, localLoad(uint64(i+1), now, occupied(now)))
+		}
+		if i%2 == 0 && i > 100 {
+			// Some uploads come from flows that another balancer placed.
+			p := router.Packet{Caller: caller(1000 + i), Address: notes, Cookie: router.Cookie(1, 0), Sequence: 1, Acknowledged: 1}
+			if i%4 == 0 {
+				v := r.Route(now, router.Packet{Caller: p.Caller, Address: notes, Opening: true})
+				require.Equal(t, router.Placed, v.Reason)
+				p.Cookie = v.Cookie
+			}
+			r.Route(now, p)
+			p.Length = 1200
+			uploads = append(uploads, upload{p, now})
+		}
+		for j := range uploads {
+			u := &uploads[j]
+			r.Route(now, u.packet)
+			u.packet.Sequence += 1200
+		}
+		for len(uploads) > 0 && now.Sub(uploads[0].sent) >= 290*time.Millisecond {
+			p := uploads[0].packet
+			p.Length, p.Acknowledged, p.Finish = 0, 200, true
+			r.Route(now, p)
+			uploads = uploads[1:]
+		}
+		_, ordinary := open(r, now, i)
+		require.Equal(t, router.Placed, ordinary.Reason, "at %v", now.Sub(epoch))
+		if i%10 == 0 {
+			r.Tick(now)
+		}
+	}
+	require.Len(t, uploads, 14)
+	require.Less(t, occupied(epoch.Add(3*time.Second)), 0.5)
+}
+
 // BenchmarkOpeningWithLoad is BenchmarkOpening with a view of all zones, which changes every 50 ms.
 func BenchmarkOpeningWithLoad(b *testing.B) {
 	for _, n := range []int{14, 3000} {
