--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -122,8 +122,11 @@
 		if d.Use < zoneadmission.Idle {
 			return Verdict{}, false
 		}
+		// If only the growth of this balancer's requests exceeds Idle, the growth may be its own: its limit
+		// must be reached, too.
+		counts := s.zoneUse.load.Measured() >= zoneadmission.Idle || reached
 		// An upload occupies a slot for a small part of its time: only its response time counts.
-		if !d.Admitted && route.Class != configuration.Upload {
+		if !d.Admitted && counts && route.Class != configuration.Upload {
 			return r.useVerdict(now, s, d), true
 		}
 	} else if reached {
--- a/internal/cookie/router/zoneadmission_test.go
+++ b/internal/cookie/router/zoneadmission_test.go
@@ -125,6 +125,73 @@
 	require.False(t, rejects(epoch))
 }
 
+// A burst of a dozen requests at one balancer counted as threefold load of all balancers, so that flows
+// were rejected while half of the 240 slots were free. A burst that lasts until this balancer's limit is
+// reached, without a later view, is still rejected.
+func TestBurstAtOneBalancerDoesNotRejectFlows(t *testing.T) {
+	r := router.New(router.Settings{Zone: "a"})
+	require.NoError(t, r.Configure(configuration.Configuration{Revision: 1, Routes: []configuration.Route{
+		{Name: "orders", Address: orders, Service: "orders", Objective: 100 * time.Millisecond, Priority: 2},
+		{Name: "urgent", Address: notes, Service: "orders", Objective: 100 * time.Millisecond, Priority: 1},
+	}}))
+	large := func(i int) view.Target {
+		x := target(uint64(i+1), "orders", "a")
+		x.Slots = 60
+		return x
+	}
+	r.SetTargets(epoch.Add(-time.Minute), lo.Times(4, large))
+	r.SetBalancers(85)
+	now, n := epoch, 0
+	var pending []router.Packet
+	open := func(requests int) (rejected int) {
+		for range requests {
+			n++
+			p := router.Packet{Caller: caller(n), Address: orders, Opening: true}
+			if n%8 == 0 {
+				p.Address = notes
+			}
+			v := r.Route(now, p)
+			if v.Action != router.Forward {
+				rejected++
+				continue
+			}
+			p = router.Packet{Caller: caller(n), Address: p.Address, Cookie: v.Cookie, Sequence: 1, Acknowledged: 1}
+			r.Route(now, p)
+			p.Length = 100
+			r.Route(now, p)
+			p.Sequence, p.Length, p.Acknowledged, p.Finish = 101, 0, 500, true
+			pending = append(pending, p)
+		}
+		return rejected
+	}
+	answer := func() {
+		for _, p := range pending {
+			r.Route(now, p)
+		}
+		pending = nil
+	}
+	view := func() { r.SetLoad(now, localLoad(uint64(n+1), now.Add(-100*time.Millisecond), 0.45*240)) }
+	for range 50 {
+		view()
+		require.Zero(t, open(1))
+		now = now.Add(60 * time.Millisecond)
+		answer()
+		now = now.Add(40 * time.Millisecond)
+		r.Tick(now)
+	}
+	view()
+	require.Zero(t, open(12), "at most 0.5 of the slots are used")
+	rejected := 0
+	for range 80 {
+		now = now.Add(10 * time.Millisecond)
+		rejected += open(1)
+		if now.UnixMilli()%100 == 0 {
+			r.Tick(now)
+		}
+	}
+	require.Positive(t, rejected, "the burst lasts")
+}
+
 // Guards against a use that counts the slots of an evacuated zone, or what open flows still occupy
 // there.
 func TestEvacuatedSlotsDoNotCount(t *testing.T) {
--- a/internal/overload/zoneadmission/zoneadmission.go
+++ b/internal/overload/zoneadmission/zoneadmission.go
@@ -33,10 +33,13 @@
 	InFlightThen, InFlight float64
 }
 
+// Measured returns the occupied slots per slot when the view was measured.
+func (l Load) Measured() float64 { return l.Occupied / l.Slots }
+
 // Use estimates the occupied slots per slot.
 func (l Load) Use() float64 {
 	growth := (l.InFlight + growthOffset) / (l.InFlightThen + growthOffset)
-	return l.Occupied / l.Slots * min(max(growth, minGrowth), maxGrowth)
+	return l.Measured() * min(max(growth, minGrowth), maxGrowth)
 }
 
 // Flow describes a new flow.
