--- a/internal/cookie/router/load.go
+++ b/internal/cookie/router/load.go
@@ -19,6 +19,8 @@
 type serviceLoad struct {
 	// zones holds the load by availability zone of the upstreams, in the order of appearance.
 	zones []*zoneLoad
+	// inFlight is the number of pending openings and requests that are neither overdue nor uploads.
+	inFlight int
 	// tier is the tier of the flow that is being decided.
 	tier int
 	// admitted and rejected count the new flows since the last Load; admittedRate and
@@ -112,18 +114,21 @@
 	l.loadedAt, l.admitted, l.rejected = now, [report.Tiers]int{}, [report.Tiers]int{}
 }
 
-// requestsInFlight returns the number of requests in flight that are not overdue.
-func (l *serviceLoad) requestsInFlight() int {
-	n := 0
-	for _, z := range l.zones {
-		n += z.occupied.InFlight()
+// noteAnswered records the end of a pending request, before the caller subtracts it. Openings do not
+// count, since upstreams accept connections without occupying a slot.
+func (f *flow) noteAnswered(now time.Time) {
+	if f.upload {
+		return
 	}
-	return n
+	f.target.load.occupied.Advance(now)
+	f.target.load.occupied.Answered()
 }
 
-// noteAnswered records the end of a pending request, before the caller subtracts it. Openings do not
-// count, since upstreams accept connections without occupying a slot.
-func (z *zoneLoad) noteAnswered(now time.Time) {
-	z.occupied.Advance(now)
-	z.occupied.Answered()
+// addOccupied adds to the requests that occupy slots, unless they are uploads: these are in transit for
+// most of their time, 0.3 s for 40 kB on a link of 2 Mbit/s, and would fill all slots.
+func (f *flow) addOccupied(n int) {
+	if !f.upload {
+		f.target.load.occupied.Add(n)
+		f.target.service.load.inFlight += n
+	}
 }
--- a/internal/cookie/router/overdue.go
+++ b/internal/cookie/router/overdue.go
@@ -92,6 +92,6 @@
 	}
 	f.target.service.overdue += change
 	if f.requestPending {
-		f.target.load.occupied.Add(-change)
+		f.addOccupied(-change)
 	}
 }
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -99,12 +99,13 @@
 // effectiveInFlight returns the number of pending openings and requests that are not overdue.
 func (s *service) effectiveInFlight() int { return s.inFlight - s.overdue }
 
-// addPending adds to the pending openings and requests of an upstream and its service.
-func (t *target) addPending(openings, requests int) {
+// addPending adds to the pending openings and requests of the flow's upstream and its service.
+func (f *flow) addPending(openings, requests int) {
+	t := f.target
 	t.openings += openings
 	t.requests += requests
 	t.service.inFlight += openings + requests
-	t.load.occupied.Add(requests)
+	f.addOccupied(requests)
 }
 
 // checkAdmission reports whether a new flow is rejected because the service is overloaded, and
@@ -121,8 +122,11 @@
 		if d.Use < zoneadmission.Idle {
 			return Verdict{}, false
 		}
+		// If only the growth of this balancer's requests exceeds Idle, the growth may be its own: its limit
+		// must be reached, too.
+		counts := s.zoneUse.load.Measured() >= zoneadmission.Idle || reached
 		// An upload occupies a slot for a small part of its time: only its response time counts.
-		if !d.Admitted && route.Class != configuration.Upload {
+		if !d.Admitted && counts && route.Class != configuration.Upload {
 			return r.useVerdict(now, s, d), true
 		}
 	} else if reached {
--- a/internal/cookie/router/zoneadmission_test.go
+++ b/internal/cookie/router/zoneadmission_test.go
@@ -14,6 +14,7 @@
 	"wasabideal/internal/cookie/router"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/upstream/view"
+	"wasabideal/internal/zoneload/report"
 	"wasabideal/internal/zoneload/snapshot"
 )
 
@@ -124,6 +125,73 @@
 	require.False(t, rejects(epoch))
 }
 
+// A burst of a dozen requests at one balancer counted as threefold load of all balancers, so that flows
+// were rejected while half of the 240 slots were free. A burst that lasts until this balancer's limit is
+// reached, without a later view, is still rejected.
+func TestBurstAtOneBalancerDoesNotRejectFlows(t *testing.T) {
+	r := router.New(router.Settings{Zone: "a"})
+	require.NoError(t, r.Configure(configuration.Configuration{Revision: 1, Routes: []configuration.Route{
+		{Name: "orders", Address: orders, Service: "orders", Objective: 100 * time.Millisecond, Priority: 2},
+		{Name: "urgent", Address: notes, Service: "orders", Objective: 100 * time.Millisecond, Priority: 1},
+	}}))
+	large := func(i int) view.Target {
+		x := target(uint64(i+1), "orders", "a")
+		x.Slots = 60
+		return x
+	}
+	r.SetTargets(epoch.Add(-time.Minute), lo.Times(4, large))
+	r.SetBalancers(85)
+	now, n := epoch, 0
+	var pending []router.Packet
+	open := func(requests int) (rejected int) {
+		for range requests {
+			n++
+			p := router.Packet{Caller: caller(n), Address: orders, Opening: true}
+			if n%8 == 0 {
+				p.Address = notes
+			}
+			v := r.Route(now, p)
+			if v.Action != router.Forward {
+				rejected++
+				continue
+			}
+			p = router.Packet{Caller: caller(n), Address: p.Address, Cookie: v.Cookie, Sequence: 1, Acknowledged: 1}
+			r.Route(now, p)
+			p.Length = 100
+			r.Route(now, p)
+			p.Sequence, p.Length, p.Acknowledged, p.Finish = 101, 0, 500, true
+			pending = append(pending, p)
+		}
+		return rejected
+	}
+	answer := func() {
+		for _, p := range pending {
+			r.Route(now, p)
+		}
+		pending = nil
+	}
+	view := func() { r.SetLoad(now, localLoad(uint64(n+1), now.Add(-100*time.Millisecond), 0.45*240)) }
+	for range 50 {
+		view()
+		require.Zero(t, open(1))
+		now = now.Add(60 * time.Millisecond)
+		answer()
+		now = now.Add(40 * time.Millisecond)
+		r.Tick(now)
+	}
+	view()
+	require.Zero(t, open(12), "at most 0.5 of the slots are used")
+	rejected := 0
+	for range 80 {
+		now = now.Add(10 * time.Millisecond)
+		rejected += open(1)
+		if now.UnixMilli()%100 == 0 {
+			r.Tick(now)
+		}
+	}
+	require.Positive(t, rejected, "the burst lasts")
+}
+
 // Guards against a use that counts the slots of an evacuated zone, or what open flows still occupy
 // there.
 func TestEvacuatedSlotsDoNotCount(t *testing.T) {
@@ -143,6 +211,40 @@
 	require.Equal(t, router.Forward, ordinary.Action)
 }
 
+// A fresh view may include few balancers, while others change their parent or run an older build.
+// Their load then seemed to be the zone's: flows of a full service were admitted without limit.
+func TestViewOfFewBalancersDoesNotDecide(t *testing.T) {
+	for _, c := range []struct {
+		included int
+		decides  bool
+	}{{1, false}, {14, false}, {15, true}, {30, true}} {
+		rejected := [2]int{}
+		for i, zone := range []string{"a", "b"} {
+			r := admissionRouter(t, 0)
+			r.SetBalancers(30)
+			entry := func(name string, balancers int) report.Zone {
+				return report.Zone{
+					Name: name, Balancers: balancers, Known: 30,
+					Services: []report.Service{{Name: "orders", Occupied: map[string]float64{name: 0.5}}},
+				}
+			}
+			for n := range 200 {
+				now := epoch.Add(time.Duration(n) * 10 * time.Millisecond)
+				zones := []report.Zone{entry("a", 30), entry("b", 30)}
+				zones[i] = entry(zone, c.included)
+				r.SetLoad(now, snapshot.Snapshot{Version: uint64(n)}.With(now, zones))
+				for k := range 2 {
+					if r.Route(now, opening(1000+2*n+k)).Reason == router.Overloaded {
+						rejected[i]++
+					}
+				}
+			}
+		}
+		require.Equal(t, c.decides, rejected[0] == 0, "%d of 30 balancers of the own zone", c.included)
+		require.Zero(t, rejected[1], "the own zone is used at 0.1")
+	}
+}
+
 // Guards against rejections while half of the slots of all zones are free: the limit of each balancer
 // used to reject callers of the zone with the highest load per balancer, and slow responses of a few
 // upstreams those of any zone.
@@ -358,6 +460,64 @@
 	}
 }
 
+// Uploads of 40 kB over a link of 2 Mbit/s are in flight for 0.3 s, and occupy a slot for a few
+// milliseconds of them. They counted as occupied for the whole time, and their growth as that of the
+// load, so that ordinary flows were rejected while most slots were free.
+func TestUploadsInTransitOccupyNoSlots(t *testing.T) {
+	r := router.New(router.Settings{Zone: "a"})
+	require.NoError(t, r.Configure(configuration.Configuration{Revision: 1, Routes: []configuration.Route{
+		{Name: "orders", Address: orders, Service: "orders", Objective: 100 * time.Millisecond, Priority: 1},
+		{Name: "uploads", Address: notes, Service: "orders", Class: configuration.Upload, Priority: 1},
+	}}))
+	r.SetTargets(epoch.Add(-time.Minute), []view.Target{target(1, "orders", "a"), target(2, "orders", "a")})
+	r.SetBalancers(1)
+	type upload struct {
+		packet router.Packet
+		sent   time.Time
+	}
+	var uploads []upload
+	occupied := func(now time.Time) float64 {
+		load, _ := lo.Find(r.Load(now), func(s report.Service) bool { return s.Name == "orders" })
+		return load.Occupied["a"]
+	}
+	for i := range 300 {
+		now := epoch.Add(time.Duration(i) * 10 * time.Millisecond)
+		if i%5 == 0 {
+			r.SetLoad(now, localLoad(uint64(i+1), now, occupied(now)))
+		}
+		if i%2 == 0 && i > 100 {
+			// Some uploads come from flows that another balancer placed.
+			p := router.Packet{Caller: caller(1000 + i), Address: notes, Cookie: router.Cookie(1, 0), Sequence: 1, Acknowledged: 1}
+			if i%4 == 0 {
+				v := r.Route(now, router.Packet{Caller: p.Caller, Address: notes, Opening: true})
+				require.Equal(t, router.Placed, v.Reason)
+				p.Cookie = v.Cookie
+			}
+			r.Route(now, p)
+			p.Length = 1200
+			uploads = append(uploads, upload{p, now})
+		}
+		for j := range uploads {
+			u := &uploads[j]
+			r.Route(now, u.packet)
+			u.packet.Sequence += 1200
+		}
+		for len(uploads) > 0 && now.Sub(uploads[0].sent) >= 290*time.Millisecond {
+			p := uploads[0].packet
+			p.Length, p.Acknowledged, p.Finish = 0, 200, true
+			r.Route(now, p)
+			uploads = uploads[1:]
+		}
+		_, ordinary := open(r, now, i)
+		require.Equal(t, router.Placed, ordinary.Reason, "at %v", now.Sub(epoch))
+		if i%10 == 0 {
+			r.Tick(now)
+		}
+	}
+	require.Len(t, uploads, 14)
+	require.Less(t, occupied(epoch.Add(3*time.Second)), 0.5)
+}
+
 // BenchmarkOpeningWithLoad is BenchmarkOpening with a view of all zones, which changes every 50 ms.
 func BenchmarkOpeningWithLoad(b *testing.B) {
 	for _, n := range []int{14, 3000} {
--- a/internal/daemon/cookie/link.go
+++ b/internal/daemon/cookie/link.go
@@ -58,7 +58,7 @@
 	// dropped since logged, the time of the last line.
 	rejectedSinceLog, droppedSinceLog int
 	logged                            time.Time
-	rejected         metrics.Counter
+	rejected                          metrics.Counter
 	// bytes are the counted bytes by direction and kind. Those since the last read of the metrics
 	// are in unread: packets would otherwise pay for two atomic additions each.
 	bytes  [2][kindCount]metrics.Counter
--- a/internal/overload/linkbudget/linkbudget.go
+++ b/internal/overload/linkbudget/linkbudget.go
@@ -9,13 +9,15 @@
 	// drainShare is the part of the bandwidth at which the queues drain. The rest is for packets
 	// that are not counted, such as acknowledgements of TCP connections.
 	drainShare = 0.95
-	// The delays from which openings are rejected. A link of the platform holds 50 ms of packets and
-	// drops further ones, which callers retransmit only after 200 ms. Ordinary flows leave nearly
-	// half of the queue to urgent ones. Downloads leave half of theirs to short requests: their
-	// acknowledgements use the link for longer.
-	urgentDelay   = 35 * time.Millisecond
-	ordinaryDelay = 20 * time.Millisecond
-	downloadDelay = 10 * time.Millisecond
+	// The delays from which openings are rejected. They include the bytes of admitted flows that have
+	// not passed yet, which take about two round trips: the queue of the link itself is shorter, and
+	// package egress bounds it. Callers retransmit after 200 ms; a handshake and a request pass both
+	// directions, so twice urgentDelay and the transit must be less. Ordinary flows leave half of that
+	// to urgent ones. Downloads leave half to short requests: their acknowledgements use the link for
+	// longer.
+	urgentDelay   = 80 * time.Millisecond
+	ordinaryDelay = 40 * time.Millisecond
+	downloadDelay = 20 * time.Millisecond
 	// maxCostShare bounds a flow's own share of the delay. Without the bound, a flow that costs more
 	// than its whole limit would be rejected on an idle link. Half of the limit keeps the order of
 	// tiers: an urgent flow of any class is admitted wherever an ordinary one is.
@@ -48,9 +50,9 @@
 	// its granularity, and say nothing about the link.
 	minStall  = 20 * time.Millisecond
 	stallHold = 125 * time.Millisecond
-	// suspectDelay is the delay from which a missing answer says nothing about an upstream: half of
-	// what the link holds. A burst within one round trip fills the rest, and packets are lost.
-	suspectDelay = 25 * time.Millisecond
+	// suspectDelay is the delay from which a missing answer says nothing about an upstream: from
+	// there on ordinary flows are rejected, and packets of open flows are dropped at times.
+	suspectDelay = 40 * time.Millisecond
 	// suspectHold is how long the link still counts as delayed. A packet that was queued is
 	// retransmitted 200 ms later, and an opening counts as abandoned after 250 ms.
 	suspectHold = 250 * time.Millisecond
--- a/internal/overload/zoneadmission/zoneadmission.go
+++ b/internal/overload/zoneadmission/zoneadmission.go
@@ -28,15 +28,22 @@
 	// Occupied is the number of slots that callers of all zones occupied when the view was
 	// measured. Slots is the number of slots that may be used in the same zones; it is not 0.
 	Occupied, Slots float64
+	// Elsewhere is the part of Occupied by callers of other zones. Their balancers see other changes
+	// than this one, so that its growth says nothing about it.
+	Elsewhere float64
 	// InFlightThen and InFlight are this balancer's own requests in flight when the view was
 	// measured, and now.
 	InFlightThen, InFlight float64
 }
 
+// Measured returns the occupied slots per slot when the view was measured.
+func (l Load) Measured() float64 { return l.Occupied / l.Slots }
+
 // Use estimates the occupied slots per slot.
 func (l Load) Use() float64 {
 	growth := (l.InFlight + growthOffset) / (l.InFlightThen + growthOffset)
-	return l.Occupied / l.Slots * min(max(growth, minGrowth), maxGrowth)
+	own := (l.Occupied - l.Elsewhere) * min(max(growth, minGrowth), maxGrowth)
+	return (own + l.Elsewhere) / l.Slots
 }
 
 // Flow describes a new flow.
--- a/internal/zoneload/schedule/schedule.go
+++ b/internal/zoneload/schedule/schedule.go
@@ -17,16 +17,17 @@
 	// little compared with the 500 ms over which placement adapts.
 	RootInterval     = 45 * time.Millisecond
 	FollowerInterval = 80 * time.Millisecond
-	// IdleInterval is the time between two reports otherwise. Three of them may be lost before
-	// the receiver drops the last report.
-	IdleInterval = 250 * time.Millisecond
+	// IdleInterval is the time between two reports otherwise. A zone's view is as old as its oldest
+	// report, so that a balancer whose load does not change determines its age. Four reports may be
+	// lost before the receiver drops the last one.
+	IdleInterval = 150 * time.Millisecond
 	// silenceMargin is the time beyond the lifetime of a report for which nothing is sent after a
 	// change of receiver. It covers the transit of the last report, and the time until the former
 	// receiver has sent a report without it.
 	silenceMargin = FollowerInterval
 	// minSlots and minShare are the differences from the last report above which the load counts
 	// as changed: less has no effect on decisions.
-	minSlots = 2
+	minSlots = 1
 	minShare = 0.1
 	// votersUsed is the number of voters that receive each report. The second one serves on when
 	// the first one stops.
