--- a/internal/daemon/cookie/load.go
+++ b/internal/daemon/cookie/load.go
@@ -94,6 +94,7 @@
 		b.log.Error("load is not shared", "Error", err)
 		return
 	}
+	l.CountTraffic(b.link.controlTraffic(), datagramOverhead)
 	b.load = newLoadExchange(loadSettings{
 		clock: b.settings.Clock, self: self, zone: b.settings.Zone, life: uint64(b.settings.Clock().UnixNano()),
 		receivers: b.follower.ReportReceivers,
@@ -107,7 +108,11 @@
 			defer b.mu.Unlock()
 			b.router.SetLoad(now, s)
 		},
-		link:     func(time.Time) report.Link { return report.Link{} },
+		link: func(time.Time) report.Link {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.linkState()
+		},
 		stopping: b.leaving.Load, counts: b.counts, log: b.log,
 	}, l)
 }
--- a/internal/zoneload/socket/socket.go
+++ b/internal/zoneload/socket/socket.go
@@ -10,6 +10,7 @@
 
 	"wasabideal/internal/member/seal"
 	"wasabideal/internal/wire/datagram"
+	"wasabideal/internal/wire/rpc"
 	"wasabideal/internal/zoneload/report"
 )
 
@@ -69,6 +70,10 @@
 	signer seal.Signer
 	// sending serializes the use of the socket's send queue.
 	sending sync.Mutex
+	// traffic counts the bytes on the VM's link, nil if they are not counted; overhead is the size of
+	// a datagram's headers.
+	traffic  *rpc.Traffic
+	overhead int
 }
 
 // Listen opens a socket at an IPv4 address and port. It fails with a ListenError.
@@ -80,6 +85,10 @@
 	return &Socket{socket: s, signer: NewSigner(token)}, nil
 }
 
+// CountTraffic counts the bytes of all datagrams, with headers of the given size. It must be called
+// before the socket is used.
+func (s *Socket) CountTraffic(t *rpc.Traffic, overhead int) { s.traffic, s.overhead = t, overhead }
+
 // Address returns the local address.
 func (s *Socket) Address() netip.AddrPort { return s.socket.Address() }
 
@@ -116,6 +125,7 @@
 	defer s.sending.Unlock()
 	for _, o := range all {
 		s.socket.Queue(o.to, o.data)
+		s.traffic.AddSent(len(o.data) + s.overhead)
 	}
 	if err := s.socket.Flush(); err != nil {
 		return &SendError{Cause: err}
@@ -139,6 +149,7 @@
 		var answers []outgoing
 		for i := range n {
 			from, data := s.socket.Datagram(i)
+			s.traffic.AddReceived(len(data) + s.overhead)
 			// The queue delay is the difference of two readings of the wall clock. A step of that
 			// clock affects only the datagrams that are in the queue at that moment.
 			for _, out := range s.handle(h, from, data, s.socket.QueueDelay(time.Now(), i)) {
