--- a/internal/silence/evidence/evidence.go
+++ b/internal/silence/evidence/evidence.go
@@ -34,6 +34,54 @@
 	// From identifies the balancer.
 	From   string
 	Events []Event
+	// Batch orders the reports with Answers of one balancer: the time of the report in ns. A report
+	// that arrives twice or after a later one is not counted.
+	Batch uint64 `cbor:",omitempty"`
+	// Answers counts short answers by service. Processes that do not know the field ignore it.
+	Answers []Answers `cbor:",omitempty"`
+}
+
+// Answers counts the answers of one service's upstreams to the callers of one balancer since its
+// last report.
+type Answers struct {
+	Service string `cbor:"1,keyasint"`
+	// Total and Short count the answers of all upstreams of the service.
+	Total uint32 `cbor:"2,keyasint"`
+	Short uint32 `cbor:"3,keyasint,omitempty"`
+	// Upstreams is how many upstreams may get new flows, in all zones.
+	Upstreams uint32        `cbor:"4,keyasint"`
+	Zones     []ZoneAnswers `cbor:"5,keyasint,omitempty"`
+}
+
+// ZoneAnswers holds the counts of upstreams of one availability zone.
+type ZoneAnswers struct {
+	Zone string `cbor:"1,keyasint"`
+	// Slots are the slots of all upstreams of the service in the zone.
+	Slots  uint32  `cbor:"2,keyasint"`
+	Counts []Count `cbor:"3,keyasint"`
+}
+
+// Count counts the answers of one instance of an upstream. The cookie identifies the instance in 5
+// instead of 18 bytes; two upstreams with the same cookie never both get flows.
+type Count struct {
+	_                   struct{} `cbor:",toarray"`
+	Cookie              uint32
+	Total, Short, Slots uint32
+}
+
+// Reduced is a voter's finding that an upstream answers more requests shortly than the others of its
+// service do.
+type Reduced struct {
+	_      struct{} `cbor:",toarray"`
+	Cookie uint32
+	// Halvings is how often the weight is halved: the weight is 2 to the power of -Halvings.
+	Halvings uint8
+	// Ratio is the logarithm of the likelihood ratio that led to the finding. Total and Short are
+	// the answers that were counted, and OthersPermille is the share of short answers of the other
+	// upstreams.
+	Ratio          uint16
+	Total, Short   uint32
+	OthersPermille uint16
 }
 
 // Suspicion is a voter's evaluation of one subject. Voters send it to balancers.
