--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -18,6 +18,7 @@
 	"wasabideal/internal/silence/accrual"
 	"wasabideal/internal/silence/confirmation"
 	"wasabideal/internal/silence/evidence"
+	"wasabideal/internal/silence/uneven"
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/upstream/handover"
 	"wasabideal/internal/wire/rpc"
@@ -86,6 +87,9 @@
 	Passing int
 	// Evacuations is the revision of the evacuation orders that the balancer holds.
 	Evacuations uint64
+	// Uneven is the UnevenVersion that the balancer received last, nil if it requests no verdicts. A
+	// voter that does not know the field ignores it.
+	Uneven *uint64 `cbor:",omitempty"`
 }
 
 // Response holds the updates after the state given in a Request.
@@ -120,6 +124,10 @@
 	Balancers int `cbor:",omitempty"`
 	// Evacuations holds the evacuation orders if they are newer than those of the requester.
 	Evacuations *evacuation.Evacuations `cbor:",omitempty"`
+	// Uneven lists the upstreams that answer more requests shortly than others, if UnevenVersion
+	// differs from that in the request.
+	Uneven        []evidence.Reduced `cbor:",omitempty"`
+	UnevenVersion uint64             `cbor:",omitempty"`
 }
 
 // Feed holds the state that one voter serves to balancers. It is safe for concurrent use.
@@ -148,6 +156,10 @@
 	// confirmation holds the results of probes of the hosts of suspected upstreams.
 	confirmation *confirmation.Confirmer
 	prober       Prober
+	// uneven compares the upstreams of each service; reduced are its verdicts as of reducedVersion.
+	uneven         *uneven.Detector
+	reduced        []evidence.Reduced
+	reducedVersion uint64
 	// suspicionsPacer limits the rate of responses with suspicions.
 	suspicionsPacer pacing.Pacer
 	// lastPoll holds the last poll of each active balancer, by name.
@@ -181,7 +193,7 @@
 func New(life uint64, d *directory.Directory, clock func() time.Time) *Feed {
 	return &Feed{
 		life: life, clock: clock, directory: d, changed: make(chan struct{}), detector: accrual.New(), lastPoll: map[string]lastPoll{},
-		fleet: members.New(), confirmation: confirmation.New(),
+		uneven: uneven.New(), fleet: members.New(), confirmation: confirmation.New(),
 	}
 }
 
@@ -274,6 +286,7 @@
 	f.pending = f.directory.Tick(now) || f.pending
 	f.wakeIfDue(now)
 	f.evaluate(now)
+	f.evaluateUneven(now)
 }
 
 // Version rises with each change of the upstreams.
--- a/internal/control/feed/reports.go
+++ b/internal/control/feed/reports.go
@@ -6,6 +6,7 @@
 
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/silence/evidence"
+	"wasabideal/internal/silence/verdicts"
 	"wasabideal/internal/upstream/handover"
 	"wasabideal/internal/wire/rpc"
 )
@@ -46,6 +47,10 @@
 func (f *Feed) Report(now time.Time, r evidence.Report) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.uneven.Record(now, r)
+	if len(r.Events) == 0 {
+		return
+	}
 	for _, e := range r.Events {
 		f.detector.Record(now, r.From, e)
 	}
@@ -92,6 +97,32 @@
 	})
 }
 
+// evaluateUneven updates the verdicts on uneven upstreams and reports changes to balancers.
+func (f *Feed) evaluateUneven(now time.Time) {
+	before := f.uneven.Version()
+	f.uneven.Evaluate(now)
+	if f.uneven.Version() == before {
+		return
+	}
+	f.reduced = f.uneven.Reduced()
+	f.reducedVersion = verdicts.Version(f.reduced)
+	f.wakeForSuspicions(now)
+}
+
+// attachUneven adds the verdicts on uneven upstreams to a response, and reports whether the balancer
+// holds others.
+func (f *Feed) attachUneven(req Request, resp *Response) bool {
+	if req.Uneven == nil {
+		return false
+	}
+	resp.UnevenVersion = f.reducedVersion
+	if *req.Uneven == f.reducedVersion {
+		return false
+	}
+	resp.Uneven = f.reduced
+	return true
+}
+
 // wakeForSuspicions completes polls because suspicions changed. If balancers relay the suspicions,
 // the rate of these responses is limited, so that hundreds of upstreams that fail together are
 // reported together.
--- a/internal/control/feed/response.go
+++ b/internal/control/feed/response.go
@@ -140,6 +140,7 @@
 		resp.Doubts = f.confirmedSuspicions(now)
 	}
 	f.attachFleet(now, req, &resp)
+	otherVerdicts := f.attachUneven(req, &resp)
 	if req.From != "" {
 		f.lastPoll[req.From] = lastPoll{at: now, relayHops: req.Passing}
 	}
@@ -155,6 +156,6 @@
 	}
 	// Batched changes of upstreams do not complete the poll yet, but are sent with other updates.
 	hasUpdates := req.Life != f.life || resp.Revision > req.Revision || resp.Evacuations != nil || resp.Version > version && !f.pending ||
-		resp.DoubtsVersion != req.Doubts && !f.suspicionsPacer.Pending()
+		(resp.DoubtsVersion != req.Doubts || otherVerdicts) && !f.suspicionsPacer.Pending()
 	return resp, hasUpdates, f.changed
 }
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -23,6 +23,7 @@
 	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/silence/evaluators"
 	"wasabideal/internal/silence/evidence"
+	"wasabideal/internal/silence/verdicts"
 	"wasabideal/internal/wire/pool"
 	"wasabideal/internal/wire/rpc"
 )
@@ -79,6 +80,8 @@
 	// StaleAfter is the maximum age of a voter's state, relayed by a parent, that still counts as
 	// fresh.
 	StaleAfter time.Duration
+	// Uneven requests the voters' verdicts on upstreams that answer more requests shortly than others.
+	Uneven bool
 	// Traffic counts the bytes of RPC connections; it may be nil.
 	Traffic *rpc.Traffic
 }
@@ -107,6 +110,7 @@
 	// followers are the direct and indirect followers of this balancer.
 	followers *members.Members
 	fetcher   *fetcher
+	verdicts  *verdicts.Set
 	pool      *pool.Pool
 	// running counts the follower's goroutines.
 	running sync.WaitGroup
@@ -128,7 +132,7 @@
 func New(s Settings, h Handler, log hclog.Logger) *Follower {
 	f := &Follower{
 		settings: s, log: log, handler: h, polled: map[string]*source{}, voterSeen: map[string]time.Time{},
-		origins: origins.New(), membership: membership.New(), followers: members.New(), pool: pool.New(s.Token).CountTraffic(s.Traffic),
+		origins: origins.New(), verdicts: verdicts.New(), membership: membership.New(), followers: members.New(), pool: pool.New(s.Token).CountTraffic(s.Traffic),
 	}
 	f.fetcher = newFetcher(s.Token, h, f.knownVoters, log)
 	f.fetcher.traffic = s.Traffic
@@ -377,6 +381,26 @@
 			src.reporter.enqueue(r.From, shares[a])
 		}
 	}
+	answers := evaluators.AssignAnswers(targets, r.Answers)
+	for _, a := range targets {
+		if src := f.polled[a]; src != nil && len(answers[a]) > 0 {
+			src.reporter.enqueueAnswers(evidence.Report{From: r.From, Batch: r.Batch, Answers: answers[a]})
+		}
+	}
+}
+
+// ReportAnswers reports how many answers of upstreams were short.
+func (f *Follower) ReportAnswers(now time.Time, answers []evidence.Answers) {
+	f.Forward(evidence.Report{From: f.settings.From, Batch: uint64(now.UnixNano()), Answers: answers})
+}
+
+// Reduced returns the upstreams at reduced weight by the verdicts of all voters, and a revision that
+// rises with each change.
+func (f *Follower) Reduced(now time.Time) ([]evidence.Reduced, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.verdicts.Expire(now)
+	return f.verdicts.All(), f.verdicts.Revision()
 }
 
 // Peers returns the addresses of the balancers in this balancer's zone, including this one once the
--- a/internal/cookie/follower/parent.go
+++ b/internal/cookie/follower/parent.go
@@ -82,6 +82,12 @@
 			updated = true
 		}
 	}
+	for i := range a.Uneven {
+		a.Uneven[i].Age += roundTrip
+	}
+	if f.applyVerdicts(a.Uneven...) {
+		updated = true
+	}
 	f.fetcher.noteRevision(address, a.Revision)
 	f.setFleetSize(address, a.Balancers)
 	if q.Fleet != a.FleetVersion || len(a.Fleet) > 0 {
@@ -99,9 +105,13 @@
 	evacuations := f.handler.Evacuations().Revision
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return relay.Request{
+	q := relay.Request{
 		Evacuations: evacuations,
 		From:        f.settings.Self.Address, Hold: parentHold, Revision: f.fetcher.revision(address),
 		Fleet: f.membership.List(address).Version, Known: f.origins.VoterVersions(f.settings.Clock()),
 	}
+	if f.settings.Uneven {
+		q.TakesUneven, q.Uneven = true, f.verdicts.Known(f.settings.Clock())
+	}
+	return q
 }
--- a/internal/cookie/follower/reporter.go
+++ b/internal/cookie/follower/reporter.go
@@ -26,6 +26,8 @@
 	maxEvents = 64
 	// maxAnsweredEvents bounds a report whose liveness reports make it longer than maxEvents.
 	maxAnsweredEvents = 2 * maxEvents
+	// maxAnswersReports bounds the reports with counts of answers that wait to be sent.
+	maxAnswersReports = 16
 	// firstFollowerReport is the delay of the first follower report to a new parent or voter. It is
 	// short so that restarted voters relearn the fleet soon.
 	firstFollowerReport = 200 * time.Millisecond
@@ -49,6 +51,8 @@
 	followerReport func() []members.Heartbeat
 	mu             sync.Mutex
 	pending        []pendingEvent
+	// pendingAnswers holds reports with counts of answers, in the order of arrival.
+	pendingAnswers []evidence.Report
 	wake           chan struct{}
 }
 
@@ -68,6 +72,19 @@
 	})
 	r.pending = r.pending[max(len(r.pending)-maxAnsweredEvents, 0):]
 	r.mu.Unlock()
+	r.notify()
+}
+
+// enqueueAnswers adds a balancer's counts of answers to the next report.
+func (r *reporter) enqueueAnswers(report evidence.Report) {
+	r.mu.Lock()
+	r.pendingAnswers = append(r.pendingAnswers, report)
+	r.pendingAnswers = r.pendingAnswers[max(len(r.pendingAnswers)-maxAnswersReports, 0):]
+	r.mu.Unlock()
+	r.notify()
+}
+
+func (r *reporter) notify() {
 	select {
 	case r.wake <- struct{}{}:
 	default:
@@ -120,12 +137,14 @@
 	defer r.mu.Unlock()
 	byBalancer := lo.GroupBy(r.pending, func(s pendingEvent) string { return s.from })
 	r.pending = nil
-	return lo.MapToSlice(byBalancer, func(from string, all []pendingEvent) evidence.Report {
+	answers := r.pendingAnswers
+	r.pendingAnswers = nil
+	return append(answers, lo.MapToSlice(byBalancer, func(from string, all []pendingEvent) evidence.Report {
 		return evidence.Report{From: from, Events: lo.Map(all, func(s pendingEvent, _ int) evidence.Event {
 			s.Age += now.Sub(s.at)
 			return s.Event
 		})}
-	})
+	})...)
 }
 
 func (r *reporter) sendFollowers(ctx context.Context, client *rpc.Client) {
--- a/internal/cookie/follower/serving.go
+++ b/internal/cookie/follower/serving.go
@@ -22,6 +22,10 @@
 	if q.Fleet != a.FleetVersion {
 		a.Fleet = f.membership.Members()
 	}
+	if q.TakesUneven {
+		all, changed := f.verdicts.Since(now, q.Uneven)
+		a.Uneven, updated = all, updated || changed
+	}
 	return a, updated
 }
 
--- a/internal/cookie/follower/voters.go
+++ b/internal/cookie/follower/voters.go
@@ -12,6 +12,7 @@
 	"wasabideal/internal/fanout/membership"
 	"wasabideal/internal/fanout/origins"
 	"wasabideal/internal/model/configuration"
+	"wasabideal/internal/silence/verdicts"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -125,6 +126,10 @@
 		Life:         known.Life, Version: known.Version, Doubts: known.Doubts, Revision: f.fetcher.revision(address),
 		Evacuations: evacuations,
 	}
+	if f.settings.Uneven {
+		held := f.verdicts.Held(address)
+		q.Uneven = &held
+	}
 	if f.selection != nil {
 		self := f.settings.Self
 		q.Self = &self
@@ -158,6 +163,7 @@
 		VoterVersion: origins.VoterVersion{Voter: address, Life: a.Life, Version: a.Version, Doubts: a.DoubtsVersion},
 		Notices:      a.Notices, Subjects: a.Doubts, Doubted: a.Life != q.Life || a.DoubtsVersion != q.Doubts, Zone: a.Zone,
 	})
+	f.applyVerdicts(verdicts.Update{Known: verdicts.Known{Voter: address, Version: a.UnevenVersion}, Reduced: a.Uneven})
 	f.fetcher.noteRevision(address, a.Revision)
 	f.applyVoterFleet(address, q, a)
 	f.setFleetSize(address, a.Balancers)
@@ -165,6 +171,21 @@
 	return nil
 }
 
+// applyVerdicts applies voters' verdicts on uneven upstreams, and reports whether any changed.
+func (f *Follower) applyVerdicts(all ...verdicts.Update) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := false
+	if !f.settings.Uneven {
+		return changed
+	}
+	now := f.settings.Clock()
+	for _, u := range all {
+		changed = f.verdicts.Apply(now, u) || changed
+	}
+	return changed
+}
+
 // applyVoterFleet applies the balancer list in a voter's response.
 func (f *Follower) applyVoterFleet(address string, q feed.Request, a feed.Response) {
 	if q.Self == nil || q.Fleet == a.FleetVersion && q.Life == a.Life {
--- a/internal/cookie/mechanism/mechanism.go
+++ b/internal/cookie/mechanism/mechanism.go
@@ -46,12 +46,15 @@
 	ZoneAdmission
 	// LinkAdmission rejects new flows beyond the capacity of the VM's link.
 	LinkAdmission
+	// Uneven sends fewer new flows to upstreams that answer more requests shortly than others of
+	// their service.
+	Uneven
 )
 
 var names = [...]string{
 	"Admission", "Slowness", "OwnZone", "Suspicion", "ColdShare", "Settling", "SharedSilence",
 	"KeptPackets", "RoomAfterStart", "UploadWait", "Pacing", "Concurrency", "SlowStart",
-	"ZonePlacement", "ZoneAdmission", "LinkAdmission",
+	"ZonePlacement", "ZoneAdmission", "LinkAdmission", "Uneven",
 }
 
 // String returns the mechanism's name as used in settings.
--- a/internal/cookie/router/choose.go
+++ b/internal/cookie/router/choose.go
@@ -69,6 +69,9 @@
 	if r.settings.Off.Has(mechanism.Slowness) {
 		slowness = 1
 	}
+	if t.reduced() {
+		slowness *= t.weightFactor()
+	}
 	return (1 + r.load(now, t)) * slowness
 }
 
@@ -110,7 +113,13 @@
 		penalty = uploadRemotePenalty
 	}
 	r.rotation++
+	if t := r.trial(now, p.local()); t != nil {
+		return t
+	}
 	best := r.cheapest(now, p.local(), scanCount(p.local()), 0)
+	if best.target != nil && best.target.reduced() {
+		best = r.pastReduced(now, p.local(), best)
+	}
 	if best.healthy() && best.cost <= 1+penalty {
 		// No upstream of another zone costs less than 1+penalty.
 		return best.target
--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -44,6 +44,12 @@
 	// nextSequence is the end of the data that the caller has sent; acknowledged is the end of
 	// the data that the caller has received.
 	nextSequence, acknowledged uint32
+	// answerOpen is set from the first packet of an answer until endAnswer counts it. answerStart is
+	// the end of the data that the caller had received before the request, and answerTook is the time
+	// from the request to the latest acknowledgment.
+	answerOpen  bool
+	answerStart uint32
+	answerTook  time.Duration
 }
 
 func (r *Router) openFlow(now time.Time, k Flow, t *target) {
@@ -127,10 +133,17 @@
 			t.load.noteAnswered(now)
 			t.addPending(0, -1)
 			r.recordResponseTime(now, f, r.Class(p.Address))
+			f.answerOpen = r.settings.MeasureAnswers
+		}
+		if f.answerOpen {
+			f.answerTook = now.Sub(f.sent)
 		}
 	}
 	openedHere, retransmitted = !f.opened.IsZero(), r.noteData(now, f, t, p)
 	if p.Finish || p.Reset {
+		if f.answerOpen && !p.Reset && !f.requestPending {
+			r.endAnswer(now, p.Address, f, now.Sub(f.sent)-f.answerTook < answerQuiet)
+		}
 		t.load.occupied.Advance(now)
 		r.removeFlow(k, f)
 	}
@@ -167,6 +180,10 @@
 	if int32(sequenceEnd-f.nextSequence) > 0 {
 		f.nextSequence = sequenceEnd
 		if !f.requestPending {
+			if f.answerOpen {
+				r.endAnswer(now, p.Address, f, true)
+			}
+			f.answerStart = f.acknowledged
 			f.requestPending, f.sent, f.inFlightAtSend = true, now, t.service.effectiveInFlight()
 			f.retransmitted, f.reported = false, false
 			t.noteSent()
@@ -218,6 +235,8 @@
 			f.requestPending = false
 			f.target.addPending(0, -1)
 			f.setOverdue(false)
+		case f.answerOpen && !f.requestPending && now.Sub(f.lastPacket) > answerQuiet:
+			r.endAnswer(now, k.Address, f, false)
 		}
 	}
 }
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -39,6 +39,9 @@
 	// Opened, if set, is called with the duration of each handshake as seen by this balancer.
 	// Answered, if set, is called with the response time of each request.
 	Opened, Answered func(time.Duration)
+	// MeasureAnswers counts short answers of upstreams. ShortAnswer, if set, is called for each.
+	MeasureAnswers bool
+	ShortAnswer    func()
 }
 
 // Router decides on each packet; one goroutine owns it.
@@ -74,6 +77,10 @@
 	reportBudget int
 	// rotation advances with each choice, so that equal upstreams are chosen in turn.
 	rotation int
+	// reduced are the upstreams at reduced weight, and answersReported is when counts of answers were
+	// last returned.
+	reduced         []*target
+	answersReported time.Time
 	// assignment determines which cold upstreams are assigned to this balancer.
 	assignment *assignment.Assignment
 	// balancers is how many balancers share the upstreams, 0 if unknown.
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -44,6 +44,7 @@
 	// responses is a buffer that compareResponseTimes reuses.
 	responses []*response.Tracker
 	load      serviceLoad
+	answers   serviceAnswers
 }
 
 // noteSent counts a packet that awaits an answer of the upstream.
--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -48,7 +48,12 @@
 	// endObserved is when this balancer first observed that the upstream has terminated.
 	endObserved time.Time
 	// active is set while the upstream is one of the active ones of its service.
-	active bool
+	active  bool
+	answers answerCounts
+	// halvings is how often the voters halved the upstream's weight; turns counts the turns since its
+	// last trial.
+	halvings uint8
+	turns    int
 	// voterSuspicion is the voters' suspicion of the upstream, nil if there is none. The embedded
 	// localSuspicion is this balancer's own suspicion.
 	voterSuspicion *voterSuspicion
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -17,6 +17,7 @@
 	"wasabideal/internal/fanout/origins"
 	"wasabideal/internal/fanout/pacing"
 	"wasabideal/internal/fanout/tree"
+	"wasabideal/internal/log/ratelimit"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/overload/pending"
@@ -140,10 +141,14 @@
 	leaving     atomic.Bool
 	ready       atomic.Bool
 	decisionLog decisionLog
-	counts      *counts
-	ctx         context.Context
-	cancel      context.CancelFunc
-	running     sync.WaitGroup
+	// weightLog limits the log lines on weights. verdictsApplied is the revision of the verdicts that
+	// the router holds.
+	weightLog       *ratelimit.Limiter
+	verdictsApplied uint64
+	counts          *counts
+	ctx             context.Context
+	cancel          context.CancelFunc
+	running         sync.WaitGroup
 }
 
 // Listen creates a balancer and opens its sockets.
@@ -156,7 +161,8 @@
 		settings: s, log: log, socket: socket, counts: newCounts(),
 		suspicions: suspicions.New(follower.ContactLease), unresponsive: map[evidence.Subject]bool{},
 		unplaced: pending.New[packetKey, bufferedPacket](), awaitingCapacity: pending.New[packetKey, bufferedPacket](),
-		view: view.New(view.Settings{ContactLease: follower.ContactLease, UnconfirmedTTL: unconfirmedTTL, ForgetAfter: forgetAfter}),
+		weightLog: ratelimit.New(maxWeightLines),
+		view:      view.New(view.Settings{ContactLease: follower.ContactLease, UnconfirmedTTL: unconfirmedTTL, ForgetAfter: forgetAfter}),
 	}
 	if uplink.NeedsPacing(s.LinkBytesPerSecond) && !s.Off.Has(mechanism.Pacing) {
 		b.uploads = newUploads(s.LinkBytesPerSecond)
@@ -167,6 +173,7 @@
 		Zone: s.Zone, Self: self, Started: s.Clock(), Seed: xxhash.Sum64String(s.Fabric), Off: s.Off, Suspected: b.recordSuspicion,
 		ZoneRefused: b.recordZoneRefusal, Reset: b.recordFlowReset,
 		Opened: b.counts.opened.Record, Answered: b.counts.answered.Record,
+		MeasureAnswers: s.uneven(), ShortAnswer: func() { b.counts.answersShort.Inc(1) },
 	})
 	return b, err
 }
@@ -302,6 +309,7 @@
 			if b.suspicions.Expire(now) || b.suspicions.Any() && now.Sub(b.suspicionsApplied) >= livenessReportInterval {
 				b.applySuspicions(now)
 			}
+			b.updateUneven(now)
 			b.decisionLog.flush(now, b.log)
 			b.logLink(now)
 			b.logLinkAdmission(now)
--- a/internal/daemon/cookie/fanout.go
+++ b/internal/daemon/cookie/fanout.go
@@ -66,7 +66,7 @@
 // for them. It returns the server's address.
 func (b *Balancer) setUpFollower() (string, error) {
 	s := b.settings
-	f := follower.Settings{Token: s.Token, From: s.Fabric, Clock: s.Clock, Shape: s.Shape, StaleAfter: s.StaleAfter, Traffic: b.link.controlTraffic()}
+	f := follower.Settings{Token: s.Token, From: s.Fabric, Clock: s.Clock, Shape: s.Shape, StaleAfter: s.StaleAfter, Traffic: b.link.controlTraffic(), Uneven: s.uneven()}
 	if s.Rpc == "" {
 		b.follower = follower.New(f, b, b.log)
 		return "", nil
@@ -186,8 +186,11 @@
 	for _, r := range reports {
 		x.mu.Lock()
 		r.Events = x.sample.Filter(now, r.From, r.Events)
+		if !x.sample.AllowAnswers(now, r.Answers) {
+			r.Answers = nil
+		}
 		x.mu.Unlock()
-		if len(r.Events) > 0 {
+		if len(r.Events)+len(r.Answers) > 0 {
 			b.follower.Forward(r)
 		}
 	}
--- a/internal/daemon/cookie/metrics.go
+++ b/internal/daemon/cookie/metrics.go
@@ -22,6 +22,8 @@
 	unresponsive     metrics.Counter
 	reportedEvents   metrics.Counter
 	rejectedUse      metrics.Counter
+	answersShort     metrics.Counter
+	uneven           metrics.Counter
 	opened, answered latency.Latency
 }
 
@@ -36,6 +38,8 @@
 		unresponsive:   metrics.NewRegisteredCounter("UnresponsiveTotal", r),
 		reportedEvents: metrics.NewRegisteredCounter("SilenceReportedTotal", r),
 		rejectedUse:    metrics.NewRegisteredCounter("FlowsRejectedUseTotal", r),
+		answersShort:   metrics.NewRegisteredCounter("AnswersShortTotal", r),
+		uneven:         metrics.NewRegisteredCounter("UnevenUpstreamsTotal", r),
 		opened:         latency.New("Opening", r),
 		answered:       latency.New("Answer", r),
 	}
@@ -52,6 +56,7 @@
 	set := func(name string, v int) { metrics.GetOrRegisterGauge(name, b.counts.registry).Update(int64(v)) }
 	set("Revision", int(b.router.Revision()))
 	set("Flows", b.router.Flows())
+	set("UpstreamsReduced", b.router.Reduced())
 	set("EvacuationsRevision", int(b.evacuations.Revision))
 	set("ZonesEvacuated", len(b.evacuations.EvacuatedZones()))
 	if b.uploads != nil {
--- a/internal/fanout/relay/relay.go
+++ b/internal/fanout/relay/relay.go
@@ -9,6 +9,7 @@
 	"wasabideal/internal/fanout/member"
 	"wasabideal/internal/fanout/origins"
 	"wasabideal/internal/model/evacuation"
+	"wasabideal/internal/silence/verdicts"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -45,6 +46,10 @@
 	Known []origins.VoterVersion
 	// Evacuations is the revision of the follower's evacuation orders.
 	Evacuations uint64
+	// TakesUneven requests the voters' verdicts on uneven upstreams, and Uneven names those that the
+	// follower holds. A parent that does not know these fields ignores them.
+	TakesUneven bool             `cbor:",omitempty"`
+	Uneven      []verdicts.Known `cbor:",omitempty"`
 }
 
 // Response contains what a follower lacks.
@@ -66,6 +71,8 @@
 	Balancers int `cbor:",omitempty"`
 	// Evacuations holds the evacuation orders if they are newer than those of the follower.
 	Evacuations *evacuation.Evacuations `cbor:",omitempty"`
+	// Uneven holds the voters' verdicts on uneven upstreams if the follower requests them.
+	Uneven []verdicts.Update `cbor:",omitempty"`
 }
 
 // FullError is returned if this balancer has the maximum number of followers.
--- a/internal/silence/evaluators/evaluators.go
+++ b/internal/silence/evaluators/evaluators.go
@@ -1,6 +1,8 @@
 package evaluators
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"wasabideal/internal/fanout/rendezvous"
 	"wasabideal/internal/silence/evidence"
 )
@@ -26,3 +28,17 @@
 	}
 	return shares
 }
+
+// AssignAnswers returns the counts of answers to send to each voter. All counts of a service go to the
+// same voters: each upstream is compared with the others of its service, and the number of upstreams
+// at reduced weight is limited for each service.
+func AssignAnswers(voters []string, answers []evidence.Answers) map[string][]evidence.Answers {
+	nodes := rendezvous.New(voters)
+	shares := make(map[string][]evidence.Answers, replicas)
+	for _, a := range answers {
+		for _, voter := range nodes.First(xxhash.Sum64String(a.Service), replicas) {
+			shares[voter] = append(shares[voter], a)
+		}
+	}
+	return shares
+}
--- a/internal/silence/sample/sample.go
+++ b/internal/silence/sample/sample.go
@@ -22,6 +22,11 @@
 	// forwarded.
 	minAnswered      = 2
 	answeredInterval = 20 * time.Millisecond
+	// maxCounts bounds the counts of answers that are forwarded per window, 9 bytes each. Reports
+	// are forwarded whole or not at all: the short answers alone would say nothing about the share.
+	maxCounts = 128
+	// maxCountsPerReport is the number of upstreams in a report.
+	maxCountsPerReport = 32
 )
 
 // subject identifies one instance of an upstream.
@@ -40,6 +45,9 @@
 type Sampler struct {
 	bySubject map[subject]*counter
 	sweptAt   time.Time
+	// counts is the number of counts forwarded since countsStarted.
+	counts        int
+	countsStarted time.Time
 }
 
 // New returns a Sampler that has counted no events.
@@ -100,3 +108,21 @@
 		}
 	}
 }
+
+// AllowAnswers reports whether to forward the counts of answers in a report, and counts them if so.
+func (s *Sampler) AllowAnswers(now time.Time, all []evidence.Answers) bool {
+	if now.Sub(s.countsStarted) >= window {
+		s.countsStarted, s.counts = now, 0
+	}
+	n := 0
+	for _, a := range all {
+		for _, z := range a.Zones {
+			n += len(z.Counts)
+		}
+	}
+	if n > maxCountsPerReport || s.counts+n > maxCounts {
+		return false
+	}
+	s.counts += n
+	return len(all) > 0
+}
