--- a/internal/silence/evaluators/evaluators_test.go
+++ b/internal/silence/evaluators/evaluators_test.go
@@ -71,3 +71,19 @@
 	events := []evidence.Event{{Incarnation: 1}, {Incarnation: 2}, {Incarnation: 3, Answered: true}}
 	require.Equal(t, map[string][]evidence.Event{"parent": events}, evaluators.Assign([]string{"parent"}, events))
 }
+
+// The upstreams of a service are compared with each other. If their counts went to different voters,
+// each would compare a part, and reduce a third of the slots on its own.
+func TestCountsOfAServiceGoToTheSameVoters(t *testing.T) {
+	answers := []evidence.Answers{{Service: "orders", Total: 1}, {Service: "notes", Total: 2}}
+	all := evaluators.AssignAnswers(voters(5), answers)
+	received := map[string]int{}
+	for _, share := range all {
+		for _, a := range share {
+			received[a.Service]++
+		}
+	}
+	require.Equal(t, map[string]int{"orders": 2, "notes": 2}, received)
+	require.Equal(t, all, evaluators.AssignAnswers(voters(5), answers))
+	require.Equal(t, map[string][]evidence.Answers{"parent": answers}, evaluators.AssignAnswers([]string{"parent"}, answers))
+}
--- a/internal/silence/sample/sample_test.go
+++ b/internal/silence/sample/sample_test.go
@@ -65,3 +65,21 @@
 	}
 	require.Empty(t, s.Filter(now, "b1", []evidence.Event{answered(1, 5*time.Millisecond)}))
 }
+
+// A parent of a fleet's whole branch would fill its link with the counts of all balancers below it.
+func TestForwardedCountsAreBounded(t *testing.T) {
+	s := sample.New()
+	report := func(n int) []evidence.Answers {
+		return []evidence.Answers{{Service: "orders", Zones: []evidence.ZoneAnswers{{Zone: "a", Counts: make([]evidence.Count, n)}}}}
+	}
+	forwarded := 0
+	for range 64 {
+		if s.AllowAnswers(epoch, report(32)) {
+			forwarded += 32
+		}
+	}
+	require.Equal(t, 128, forwarded)
+	require.True(t, s.AllowAnswers(epoch.Add(time.Second), report(32)))
+	require.False(t, s.AllowAnswers(epoch.Add(2*time.Second), report(33)), "no balancer sends as many")
+	require.False(t, s.AllowAnswers(epoch.Add(2*time.Second), nil))
+}
--- a/internal/silence/uneven/uneven.go
+++ b/internal/silence/uneven/uneven.go
@@ -187,6 +187,9 @@
 	detected, group := 0, 0.0
 	for _, u := range s.upstreams {
 		u.ratio = u.evaluate(total)
+	}
+	s.confirm()
+	for _, u := range s.upstreams {
 		if u.halvings > 0 {
 			group += u.ratio
 		}
@@ -285,7 +288,7 @@
 // evenTotals returns the answers of the upstreams at full weight. Those found to be uneven say
 // nothing about how the others answer.
 func (s *service) evenTotals() observation {
-	total := boundedTotals(s.totals)
+	total := boundedTotals(s.totals, time.Time{})
 	for _, u := range s.upstreams {
 		u.own = boundedSum(u.observations, time.Time{})
 		if u.halvings > 0 {
@@ -316,12 +319,43 @@
 	if u.others(total).total < minOthers {
 		return 0
 	}
-	p0 := u.othersShare(total)
+	return u.counted().ratio(u.othersShare(total))
+}
+
+// confirm evaluates the candidates again, with the others counted only since the candidate's test
+// began. When a burst begins, the answers of all upstreams become short, and the share of the others
+// over a longer time is too low. Other candidates and reduced upstreams do not count as others.
+func (s *service) confirm() {
+	var apart, candidates []*upstream
+	for _, u := range s.upstreams {
+		if u.ratio >= detectAt {
+			candidates = append(candidates, u)
+		}
+		if u.ratio >= detectAt || u.halvings > 0 {
+			apart = append(apart, u)
+		}
+	}
+	ratios := make([]float64, len(candidates))
+	for i, u := range candidates {
+		total := boundedTotals(s.totals, u.testSince)
+		for _, x := range apart {
+			c := boundedSum(x.observations, u.testSince)
+			total.total -= c.total
+			total.short -= c.short
+		}
+		ratios[i] = u.counted().ratio(max(total.short/max(total.total, 1), minShare))
+	}
+	for i, u := range candidates {
+		u.ratio = min(u.ratio, ratios[i])
+	}
+}
+
+// ratio returns the logarithm of the likelihood ratio of the observation for a share of the others.
+func (c observation) ratio(p0 float64) float64 {
 	if p0 > maxShare {
 		return acceptAt
 	}
 	p1 := p0 + margin
-	c := u.counted()
 	return c.short*math.Log(p1/p0) + (c.total-c.short)*math.Log((1-p1)/(1-p0))
 }
 
@@ -353,11 +387,15 @@
 	return sum
 }
 
-// boundedTotals returns the sum of the observations, of which one balancer contributes at most half.
-func boundedTotals(all []observation) observation {
+// boundedTotals returns the sum of the observations after a time, of which one balancer contributes
+// at most half.
+func boundedTotals(all []observation, after time.Time) observation {
 	byBalancer := map[string]observation{}
 	var sum, most observation
 	for _, o := range all {
+		if !o.at.After(after) {
+			continue
+		}
 		b := byBalancer[o.from]
 		b.total += o.total
 		b.short += o.short
--- a/internal/silence/uneven/uneven_test.go
+++ b/internal/silence/uneven/uneven_test.go
@@ -155,13 +155,25 @@
 	require.LessOrEqual(t, float64(found), 0.001*tests)
 }
 
-// In a burst all upstreams reject. If some were taken out, the others would reject more.
+// In a burst all upstreams reject. If some were taken out, the others would reject more. Of the few
+// upstreams that reject most by chance, no more may be found than the error rate of a test allows.
 func TestRejectionsByAllUpstreamsFindNothing(t *testing.T) {
-	for _, share := range []float64{0.2, 0.5, 0.9} {
-		l := newLoad(2)
-		l.run(5*time.Second, always(0.005))
-		l.run(10*time.Second, always(share))
-		require.LessOrEqual(t, len(l.weights()), 2, share)
+	for _, share := range []float64{0.1, 0.2, 0.35, 0.5, 0.7, 0.9} {
+		sum := 0
+		for seed := range uint64(10) {
+			l := newLoad(seed + 100)
+			l.run(5*time.Second, always(0.005))
+			most := 0
+			for range 10 {
+				l.run(time.Second, always(share))
+				most = max(most, len(l.weights()))
+			}
+			require.LessOrEqual(t, most, 2, "share %v, seed %d", share, seed)
+			sum += most
+		}
+		t.Logf("share %.2f: %d findings in ten bursts of 10 s", share, sum)
+		// A test that accepts takes 20 answers or less.
+		require.LessOrEqual(t, float64(sum), 0.001*10*10*upstreams*perUpstream/20)
 	}
 }
 
