--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -46,12 +46,12 @@
 	// nextSequence is the end of the data that the caller has sent; acknowledged is the end of
 	// the data that the caller has received.
 	nextSequence, acknowledged uint32
-	// answer is set from the first packet of an answer until endAnswer counts it. answerStart is the
-	// end of the data that the caller had received before the request, and answerTook is the time
-	// from the request to the latest acknowledgment.
-	answer      *classAnswers
-	answerStart uint32
-	answerTook  time.Duration
+	// answerStart is the end of the data that the caller had received before the request, and
+	// answerTook is the time from the request to the latest acknowledgment in µs, in 32 bits so that
+	// an opening initializes less memory. answer is set from the first packet of an answer until
+	// endAnswer counts it.
+	answerStart, answerTook uint32
+	answer                  *classAnswers
 }
 
 func (r *Router) openFlow(now time.Time, k Flow, t *target) {
@@ -141,13 +141,13 @@
 			}
 		}
 		if f.answer != nil {
-			f.answerTook = now.Sub(f.sent)
+			f.answerTook = uint32(now.Sub(f.sent).Microseconds())
 		}
 	}
 	openedHere, retransmitted = !f.opened.IsZero(), r.noteData(now, f, t, p)
 	if p.Finish || p.Reset {
 		if f.answer != nil && !p.Reset && !f.requestPending {
-			r.endAnswer(now, f, now.Sub(f.sent)-f.answerTook < answerQuiet)
+			r.endAnswer(now, f, now.Sub(f.sent)-f.answerDuration() < answerQuiet)
 		}
 		t.load.occupied.Advance(now)
 		r.removeFlow(k, f)
--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -30,6 +30,8 @@
 	// cookieCollision is set if another upstream has the same cookie; the upstream then
 	// gets no new flows.
 	cookieCollision bool
+	// halvings is how often the voters halved the upstream's weight.
+	halvings uint8
 	// position is the upstream's location in the pool of its service.
 	position position
 	// openings counts the flows that await the completion of the handshake; requests counts the
@@ -48,16 +50,14 @@
 	// endObserved is when this balancer first observed that the upstream has terminated.
 	endObserved time.Time
 	// active is set while the upstream is one of the active ones of its service.
-	active  bool
-	answers answerCounts
-	// halvings is how often the voters halved the upstream's weight; turns counts the turns since its
-	// last trial.
-	halvings uint8
-	turns    int
+	active bool
 	// voterSuspicion is the voters' suspicion of the upstream, nil if there is none. The embedded
 	// localSuspicion is this balancer's own suspicion.
 	voterSuspicion *voterSuspicion
 	localSuspicion
+	answers answerCounts
+	// turns counts the turns of a reduced upstream since its last trial.
+	turns int
 }
 
 // Cookie folds an incarnation and its start time (born) into the cookie that both ends of a flow
--- a/internal/cookie/router/uneven.go
+++ b/internal/cookie/router/uneven.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -20,6 +19,8 @@
 	// medianStep is the relative step of the estimated medians: a hundred answers change them by at
 	// most a factor of 7, so that a burst of rejections does not become the rule within a second.
 	medianStep = 0.02
+	// learningAnswers is the number of answers from which the step is medianStep; it is larger before.
+	learningAnswers = 1 / medianStep
 	// answerQuiet is the time without a packet of the caller after which an answer has probably
 	// ended. Callers close a flow sooner after its last answer.
 	answerQuiet = 500 * time.Millisecond
@@ -69,10 +70,14 @@
 	if c.answers == 0 {
 		c.bytes, c.duration = bytes, duration
 	}
-	c.answers = min(c.answers+1, math.MaxInt32)
-	step := max(1/float64(c.answers), medianStep)
-	c.bytes = stepTowards(c.bytes, bytes, step)
-	c.duration = stepTowards(c.duration, duration, step)
+	up, down := 1+medianStep, 1/(1+medianStep)
+	if c.answers < learningAnswers {
+		c.answers++
+		up = 1 + 1/float64(c.answers)
+		down = 1 / up
+	}
+	c.bytes = stepTowards(c.bytes, bytes, up, down)
+	c.duration = stepTowards(c.duration, duration, up, down)
 	return short
 }
 
@@ -80,14 +85,14 @@
 	return c.answers >= minAnswers && bytes < shortBytes*c.bytes && duration < shortDuration*c.duration
 }
 
-// stepTowards moves an estimated median by a relative step, whatever the distance to the value: one
-// very long answer moves it no further than any other.
-func stepTowards(median, value, step float64) float64 {
+// stepTowards moves an estimated median by a factor, whatever the distance to the value: one very long
+// answer moves it no further than any other.
+func stepTowards(median, value, up, down float64) float64 {
 	switch {
 	case value > median:
-		return median * (1 + step)
+		return median * up
 	case value < median:
-		return median / (1 + step)
+		return median * down
 	default:
 		return median
 	}
@@ -110,7 +115,7 @@
 // off, and is not counted if it is short. Uploads are not counted at all: an upstream may answer while
 // further packets of the body arrive, which look like the next request.
 func (r *Router) endAnswer(now time.Time, f *flow, complete bool) {
-	bytes, took := float64(f.acknowledged-f.answerStart), f.answerTook.Seconds()
+	bytes, took := float64(f.acknowledged-f.answerStart), f.answerDuration().Seconds()
 	if !complete && f.answer.isShort(bytes, took) {
 		return
 	}
@@ -122,6 +127,9 @@
 	}
 }
 
+// answerDuration returns the time from the flow's last request to the latest acknowledgment.
+func (f *flow) answerDuration() time.Duration { return time.Duration(f.answerTook) * time.Microsecond }
+
 func (s *serviceAnswers) count(now time.Time, t *target, short bool) {
 	if !t.answers.listed {
 		t.answers.listed, t.answers.since = true, now
--- a/internal/silence/uneven/uneven.go
+++ b/internal/silence/uneven/uneven.go
@@ -40,6 +40,11 @@
 	// reducedShare is the share of a zone's slots that may be at reduced weight: the others then
 	// carry at most one and a half times their load.
 	reducedShare = 1.0 / 3
+	// intervalPerUpstream, times the upstreams of a service with evidence, is the minimum time between
+	// two evaluations of it, up to maxInterval. Evaluating an upstream takes 1 µs, which is 1 % of a
+	// core for up to 10,000 upstreams.
+	intervalPerUpstream = 100 * time.Microsecond
+	maxInterval         = time.Second
 	// maxReported bounds the verdicts, about 16 bytes each.
 	maxReported = 128
 )
@@ -89,6 +94,7 @@
 	totals    []observation
 	claims    map[string]claim
 	upstreams map[uint32]*upstream
+	evaluated time.Time
 }
 
 // Detector holds the evidence about upstreams by service, and their weights.
@@ -171,6 +177,10 @@
 		}
 	}
 	for name, s := range d.services {
+		if now.Sub(s.evaluated) < min(time.Duration(len(s.upstreams))*intervalPerUpstream, maxInterval) {
+			continue
+		}
+		s.evaluated = now
 		if s.evaluate(now) {
 			d.version++
 		}
