--- a/internal/cookie/router/uneven_test.go
+++ b/internal/cookie/router/uneven_test.go
@@ -421,6 +421,31 @@
 	})
 }
 
+// Upstreams of one rack stand side by side in the list, and all of them reject. A sample of eight then
+// holds reduced upstreams only, and flows would leave the zone though others there are idle.
+func TestIdleUpstreamOfTheZoneIsPreferred(t *testing.T) {
+	var all []view.Target
+	var found []evidence.Reduced
+	for n := range uint64(60) {
+		all = append(all, target(n+1, "orders", "a"))
+		if n < 20 {
+			found = append(found, evidence.Reduced{Cookie: router.Cookie(n+1, 0), Halvings: 2})
+		}
+	}
+	r := newRouter(t, append(all, target(61, "orders", "b"))...)
+	require.Len(t, r.SetReduced(found), 20)
+	trials := 0
+	for n := range 600 {
+		v := r.Route(epoch, opening(n))
+		r.Route(epoch, router.Packet{Caller: caller(n), Address: orders, Cookie: v.Cookie, Finish: true})
+		require.NotEqual(t, uint64(61), v.Incarnation)
+		if v.Incarnation <= 20 {
+			trials++
+		}
+	}
+	require.InDelta(t, 600/3/4, trials, 20, "a quarter of the turns of a third of the upstreams")
+}
+
 // The weight belongs to an instance. A restarted upstream that kept it would wait for its recovery
 // without a fault.
 func TestRestartedUpstreamHasFullWeight(t *testing.T) {
