--- a/internal/silence/uneven/uneven.go
+++ b/internal/silence/uneven/uneven.go
@@ -22,6 +22,9 @@
 	// evidenceTTL is the age at which evidence is dropped. Callers retry within 2 s, so older
 	// answers say little about what a retry meets.
 	evidenceTTL = 2 * time.Second
+	// recentEvidence is the age of evidence that suffices for the recovery of many upstreams at once:
+	// with that of evidenceTTL, answers from before the end of a fault would delay it by 2 s.
+	recentEvidence = time.Second
 	// step is by how many halvings a detection reduces the weight, and MaxHalvings bounds them: the
 	// weights are 1/4 and 1/16.
 	step        = 2
@@ -88,6 +91,11 @@
 	// progress, as of the last evaluation.
 	own   observation
 	ratio float64
+	// unbounded is the ratio with all that each balancer counted. It decides on acceptance: an
+	// upstream at reduced weight has few short answers, each of which may be the only one of its
+	// balancer and would not count.
+	// recent is the same for the evidence of recentEvidence.
+	unbounded, recent float64
 }
 
 type service struct {
@@ -194,14 +202,16 @@
 func (s *service) evaluate(now time.Time) bool {
 	s.expire(now)
 	total := s.evenTotals()
-	detected, group := 0, 0.0
+	detected, group, recentGroup := 0, 0.0, 0.0
 	for _, u := range s.upstreams {
-		u.ratio = u.evaluate(total)
+		u.evaluate(total)
 	}
 	s.confirm()
 	for _, u := range s.upstreams {
 		if u.halvings > 0 {
-			group += u.ratio
+			u.recent = u.evaluateAfter(now.Add(-recentEvidence), total)
+			group += u.unbounded
+			recentGroup += u.recent
 		}
 		if u.halvings > 0 && !u.recovering || u.ratio >= detectAt {
 			detected++
@@ -214,13 +224,13 @@
 	}
 	// While an upstream gets a sixteenth of its flows, its own answers take many seconds to accept p0.
 	// The answers of all reduced upstreams together take a fraction of a second.
-	groupAccepts := group <= acceptAt
+	groupAccepts := min(group, recentGroup) <= acceptAt
 	restored := s.restore(now, func(u *upstream) bool {
-		return u.ratio <= acceptAt || groupAccepts && u.ratio <= 0 || now.Sub(u.lastShort) >= withoutEvidence
+		return u.unbounded <= acceptAt || groupAccepts && min(u.unbounded, u.recent) <= 0 || now.Sub(u.lastShort) >= withoutEvidence
 	})
 	reduced := s.reduce(now, size, total)
 	for _, u := range s.upstreams {
-		if u.ratio <= acceptAt {
+		if u.unbounded <= acceptAt {
 			u.testSince = now
 		}
 	}
@@ -247,7 +257,8 @@
 			continue
 		}
 		u.recovering = u.recovering || accepted(u)
-		if u.recovering && now.Sub(u.changed) >= restoreInterval {
+		// A step waits while the evidence since the last one leans to p1.
+		if u.recovering && (min(u.unbounded, u.recent) <= 0 || accepted(u)) && now.Sub(u.changed) >= restoreInterval {
 			u.halvings--
 			u.verdict.Halvings = uint8(u.halvings)
 			u.changed, u.testSince, changed = now, now, true
@@ -324,12 +335,29 @@
 	return max(o.short/max(o.total, 1), minShare)
 }
 
-// evaluate returns the logarithm of the likelihood ratio of the test in progress.
-func (u *upstream) evaluate(total observation) float64 {
+// evaluate updates the likelihood ratios of the test in progress.
+func (u *upstream) evaluate(total observation) {
+	u.ratio, u.unbounded = 0, 0
+	if u.others(total).total < minOthers {
+		return
+	}
+	all, p0 := sum(u.observations, u.testSince), u.othersShare(total)
+	u.unbounded = all.ratio(p0)
+	u.ratio = u.unbounded
+	if all.short > 0 {
+		u.ratio = u.counted().ratio(p0)
+	}
+}
+
+// evaluateAfter returns the unbounded ratio of the test in progress for evidence after a time.
+func (u *upstream) evaluateAfter(after time.Time, total observation) float64 {
 	if u.others(total).total < minOthers {
 		return 0
 	}
-	return u.counted().ratio(u.othersShare(total))
+	if u.testSince.After(after) {
+		after = u.testSince
+	}
+	return sum(u.observations, after).ratio(u.othersShare(total))
 }
 
 // confirm evaluates the candidates again, with the others counted only since the candidate's test
@@ -373,15 +401,9 @@
 // reports count at most as much as those of all others, so that a balancer that counts wrongly
 // reduces nothing alone.
 func boundedSum(all []observation, after time.Time) observation {
-	var sum observation
-	for _, o := range all {
-		if o.at.After(after) {
-			sum.total += o.total
-			sum.short += o.short
-		}
-	}
-	if sum.short == 0 {
-		return sum
+	bounded := sum(all, after)
+	if bounded.short == 0 {
+		return bounded
 	}
 	byBalancer, most := map[string]float64{}, 0.0
 	for _, o := range all {
@@ -390,11 +412,23 @@
 			most = max(most, byBalancer[o.from])
 		}
 	}
-	if excess := most - (sum.short - most); excess > 0 {
-		sum.short -= excess
-		sum.total -= excess
+	if excess := most - (bounded.short - most); excess > 0 {
+		bounded.short -= excess
+		bounded.total -= excess
 	}
-	return sum
+	return bounded
+}
+
+// sum returns the sum of the observations after a time.
+func sum(all []observation, after time.Time) observation {
+	var out observation
+	for _, o := range all {
+		if o.at.After(after) {
+			out.total += o.total
+			out.short += o.short
+		}
+	}
+	return out
 }
 
 // boundedTotals returns the sum of the observations after a time, of which one balancer contributes
--- a/internal/silence/uneven/uneven_test.go
+++ b/internal/silence/uneven/uneven_test.go
@@ -139,6 +139,29 @@
 	}
 }
 
+// The fault lasts two minutes. At a sixteenth of its flows an upstream has one short answer in the age of
+// evidence. When the bound on one balancer's evidence also applied to acceptance, that answer did not
+// count, and up to half of the upstreams got their flows back while they rejected.
+func TestLastingFaultStaysReduced(t *testing.T) {
+	for seed := range uint64(4) {
+		l := newLoad(seed)
+		l.run(8*time.Second, firstQuarter)
+		worst := 0.0
+		for range 28 {
+			l.run(4*time.Second, firstQuarter)
+			weight := float64(upstreams / 4)
+			for cookie, w := range l.weights() {
+				if cookie <= upstreams/4 {
+					weight -= 1 - w
+				}
+			}
+			worst = max(worst, weight/(upstreams/4))
+		}
+		t.Logf("seed %d: mean weight at most %.3f", seed, worst)
+		require.LessOrEqual(t, worst, 0.2)
+	}
+}
+
 // If 2 % of all answers are short, upstreams would lose their flows without a fault. The error rate is
 // 0.001 for each test, and a test that accepts takes at least 11 answers.
 func TestFewShortAnswersFindNothing(t *testing.T) {
