--- a/internal/cookie/router/load.go
+++ b/internal/cookie/router/load.go
@@ -19,7 +19,7 @@
 type serviceLoad struct {
 	// zones holds the load by availability zone of the upstreams, in the order of appearance.
 	zones []*zoneLoad
-	// inFlight is the number of pending openings and requests that are neither overdue nor uploads.
+	// inFlight is the number of pending requests that are neither overdue nor uploads.
 	inFlight int
 	// tier is the tier of the flow that is being decided.
 	tier int
--- a/internal/cookie/router/zoneadmission_test.go
+++ b/internal/cookie/router/zoneadmission_test.go
@@ -192,6 +192,37 @@
 	require.Positive(t, rejected, "the burst lasts")
 }
 
+// A burst at the balancers of one zone counted as one in all zones: flows were rejected while the sum over
+// the zones had room. The same growth of a load that the own zone's callers cause alone is a burst.
+func TestBurstInOneZoneDoesNotScaleTheLoadOfOthers(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		own, other, use  float64
+		ordinaryAdmitted bool
+	}{
+		{"callers of the other zone", 1, 7, 10.0 / 8, true},
+		{"callers of the own zone", 8, 0, 3, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := admissionRouter(t, 0)
+			open(r, epoch, 0)
+			r.SetLoad(epoch, loadView(1, epoch, map[string]map[string]float64{"a": {"a": c.own}, "b": {"b": c.other}}))
+			open(r, epoch, 1)
+			for n := range 8 {
+				p := router.Packet{Caller: caller(10 + n), Address: notes, Opening: true}
+				v := r.Route(epoch, p)
+				require.Equal(t, router.Forward, v.Action)
+				r.Route(epoch, router.Packet{Caller: p.Caller, Address: notes, Cookie: v.Cookie, Sequence: 1, Acknowledged: 1, Length: 100})
+			}
+			v := r.Route(epoch, router.Packet{Caller: caller(20), Address: orders, Opening: true})
+			require.Equal(t, c.ordinaryAdmitted, v.Action == router.Forward)
+			if !c.ordinaryAdmitted {
+				require.InDelta(t, c.use, v.Use, 1e-9)
+			}
+		})
+	}
+}
+
 // Guards against a use that counts the slots of an evacuated zone, or what open flows still occupy
 // there.
 func TestEvacuatedSlotsDoNotCount(t *testing.T) {
