--- a/internal/overload/zoneadmission/zoneadmission_test.go
+++ b/internal/overload/zoneadmission/zoneadmission_test.go
@@ -34,8 +34,9 @@
 }
 
 func drawLoad(t *rapid.T) zoneadmission.Load {
+	occupied := rapid.Float64Range(0, 5000).Draw(t, "occupied")
 	return zoneadmission.Load{
-		Occupied: rapid.Float64Range(0, 5000).Draw(t, "occupied"), Slots: rapid.Float64Range(1, 5000).Draw(t, "slots"),
+		Occupied: occupied, Slots: rapid.Float64Range(1, 5000).Draw(t, "slots"), Elsewhere: rapid.Float64Range(0, occupied).Draw(t, "elsewhere"),
 		InFlightThen: rapid.Float64Range(0, 500).Draw(t, "then"), InFlight: rapid.Float64Range(0, 500).Draw(t, "now"),
 	}
 }
@@ -72,20 +73,39 @@
 	})
 }
 
-// Guards against a growth that outweighs the view: a balancer's few requests must neither hide a
-// load nor invent one.
+// Guards against a growth that outweighs the view, and against one that scales the load by callers of
+// other zones: a balancer's few requests must neither hide a load nor invent one. The bounds are
+// compared up to the rounding of a few operations.
 func TestUseStaysNearTheView(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		load := drawLoad(t)
-		view := load.Occupied / load.Slots
-		require.GreaterOrEqual(t, load.Use(), 0.5*view)
-		require.LessOrEqual(t, load.Use(), 3*view)
+		own, elsewhere := (load.Occupied-load.Elsewhere)/load.Slots, load.Elsewhere/load.Slots
+		rounding := 1e-14 * load.Measured()
+		require.GreaterOrEqual(t, load.Use(), 0.5*own+elsewhere-rounding)
+		require.LessOrEqual(t, load.Use(), 3*own+elsewhere+rounding)
 		more := load
 		more.InFlight++
 		require.GreaterOrEqual(t, more.Use(), load.Use())
 	})
 }
 
+// A burst at the balancers of one zone counted as one in all zones: their requests in flight had tripled,
+// and with them the assumed load of all callers, so that they rejected flows while slots were free.
+func TestBurstOfOneZoneDoesNotScaleTheOthers(t *testing.T) {
+	ordinary := zoneadmission.Flow{Objective: 100 * time.Millisecond, Work: 20 * time.Millisecond}
+	burst := zoneadmission.Load{Occupied: 150, Elsewhere: 120, Slots: 240, InFlightThen: 4, InFlight: 20}
+	require.InDelta(t, (3*30.0+120)/240, burst.Use(), 1e-9, "0.875: there is room for the burst")
+	// No hash is rejected, also not the first one that a rejected share would apply to.
+	d := zoneadmission.Decide(burst, ordinary)
+	require.True(t, d.Admitted)
+	require.Zero(t, d.RejectedShare)
+	everywhere := burst
+	everywhere.Elsewhere = 0
+	d = zoneadmission.Decide(everywhere, ordinary)
+	require.False(t, d.Admitted, "a burst of the callers of all zones is rejected")
+	require.Positive(t, d.RejectedShare)
+}
+
 // Guards against a rejected share that differs from the one intended, for a caller wherever it is and
 // for all callers, and against a choice that rejects the same caller again: the two ports of a caller
 // are rejected as often as two callers are.
