--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -168,6 +168,10 @@
 		r.losses.answeredAfterRetransmission++
 		f.retransmitted = false
 	}
+	if f.overdue {
+		// An overdue request did not occupy its slot until now.
+		f.target.load.occupied.Advance(now)
+	}
 	f.setOverdue(false)
 	r.noteUpstreamAnswer(now, f.target)
 }
--- a/internal/cookie/router/zoneload_internal_test.go
+++ b/internal/cookie/router/zoneload_internal_test.go
@@ -157,6 +157,23 @@
 	require.InDelta(t, 1, r.Load(loadEpoch.Add(308 * time.Millisecond))[0].Total(), 1e-9)
 }
 
+// A late answer ends an overdue request. The request counted again as occupying its slot since the last
+// packet or report, which made a slow link look like full upstreams.
+func TestLateAnswerOccupiesNoSlot(t *testing.T) {
+	r := loadRouter(t, 1)
+	r.Load(loadEpoch)
+	p := Packet{Caller: loadCaller(9), Address: loadAddress, Opening: true}
+	p.Cookie = r.Route(loadEpoch, p).Cookie
+	p.Opening, p.Sequence, p.Length, p.Acknowledged = false, 1, 400, 1
+	r.Route(loadEpoch.Add(8*time.Millisecond), p)
+	r.Tick(loadEpoch.Add(308 * time.Millisecond))
+	p.Sequence, p.Length, p.Acknowledged = 401, 0, 900
+	r.Route(loadEpoch.Add(400*time.Millisecond), p)
+	// The request occupied its slot for 8 of the last 200 ms, until it was overdue, and was in transit for
+	// 8 ms.
+	require.Zero(t, r.Load(loadEpoch.Add(500 * time.Millisecond))[0].Total())
+}
+
 // Guards against slots that seem occupied by requests of an upstream that does not answer: such
 // requests are overdue after 300 ms.
 func TestUnansweredRequestsDoNotOccupySlots(t *testing.T) {
