--- a/internal/daemon/cookie/link_test.go
+++ b/internal/daemon/cookie/link_test.go
@@ -245,6 +245,18 @@
 	require.False(t, x.maySend(x.now.Add(time.Microsecond), &v, 100))
 }
 
+// Guards against data of uploads that is left out of the queue when the pacing sends it.
+func TestPacedDataFillsTheQueueOfTheLink(t *testing.T) {
+	x := newLinkBalancer(t, true, 0)
+	v := router.Verdict{Action: router.Forward, Reason: router.Known}
+	for range 10 {
+		x.recordPacedSent(x.now, 1200)
+	}
+	require.False(t, x.maySend(x.now, &v, 100))
+	x.now = x.now.Add(50 * time.Millisecond)
+	require.True(t, x.maySend(x.now, &v, 100))
+}
+
 // While the link delays packets, their retransmissions are no evidence against upstreams.
 func TestDelayedLinkSuspendsSuspicions(t *testing.T) {
 	x := newLinkBalancer(t, true, 0)
