--- a/internal/overload/zoneadmission/replay_test.go
+++ b/internal/overload/zoneadmission/replay_test.go
@@ -53,8 +53,9 @@
 
 // balancer counts its requests in flight, and remembers the latest view.
 type balancer struct {
-	zone, inFlight         int
-	occupied, inFlightThen float64
+	zone, inFlight int
+	// elsewhere is the part of occupied by callers of other zones.
+	occupied, elsewhere, inFlightThen float64
 	// measured is when the view was measured, zero if there is none.
 	measured time.Time
 	history  zoneadmission.History
@@ -93,8 +94,8 @@
 	// balancers take from it.
 	response   time.Duration
 	workFactor float64
-	// samples are the recent numbers of requests at upstreams.
-	samples []float64
+	// samples are the recent numbers of requests at upstreams by zone of the callers.
+	samples [][]float64
 	// retryDelay returns the time between a rejection and the next try.
 	retryDelay func() time.Duration
 	counts     counts
@@ -245,7 +246,7 @@
 	}
 	a := attempt{c.address, uint16(r.random.Uint32())}
 	d := zoneadmission.Decide(zoneadmission.Load{
-		Occupied: b.occupied, Slots: r.slots(), InFlightThen: b.inFlightThen, InFlight: float64(b.inFlight),
+		Occupied: b.occupied, Elsewhere: b.elsewhere, Slots: r.slots(), InFlightThen: b.inFlightThen, InFlight: float64(b.inFlight),
 	}, zoneadmission.Flow{Objective: objective, UrgentObjective: objective, Work: time.Duration(float64(r.response) * r.workFactor), Urgent: c.urgent, Number: flowHash(a.address, a.port)})
 	rejected := !d.Admitted
 	if r.rejects != nil && d.RejectedShare > 0 && d.RejectedShare < 1 {
@@ -325,25 +326,44 @@
 		if r.inBurst() && r.sinceBurst() >= detected {
 			r.counts.uses = append(r.counts.uses, occupied/r.slots())
 		}
-		r.samples = append(r.samples, occupied)
+		byZone := make([]float64, len(r.zones))
+		for _, b := range r.balancers {
+			byZone[b.zone] += float64(b.inFlight)
+		}
+		r.samples = append(r.samples, byZone)
 		r.samples = r.samples[max(len(r.samples)-int(occupancyWindow/sampleInterval), 0):]
 		for _, b := range r.balancers {
 			b.history.Record(r.Now, b.inFlight)
 		}
 		if r.Now.Sub(epoch)%viewInterval < sampleInterval && !r.lost(r.Now) {
-			r.deliver(mean(r.samples), r.Now)
+			r.deliver(r.meanSample(), r.Now)
 		}
 		r.sample()
 	})
 }
 
+// meanSample returns the mean of the samples by zone.
+func (r *replay) meanSample() []float64 {
+	out := make([]float64, len(r.zones))
+	for _, byZone := range r.samples {
+		for i, n := range byZone {
+			out[i] += n / float64(len(r.samples))
+		}
+	}
+	return out
+}
+
 // deliver applies a view at all balancers, unless a later one has arrived before.
-func (r *replay) deliver(occupied float64, measured time.Time) {
+func (r *replay) deliver(byZone []float64, measured time.Time) {
+	occupied := 0.0
+	for _, n := range byZone {
+		occupied += n
+	}
 	r.AfterFunc(viewAge+r.late(), func() {
 		for _, b := range r.balancers {
 			if measured.After(b.measured) {
 				then, _ := b.history.Mean(measured)
-				b.occupied, b.measured, b.inFlightThen = occupied, measured, then
+				b.occupied, b.elsewhere, b.measured, b.inFlightThen = occupied, occupied-byZone[b.zone], measured, then
 			}
 		}
 	})
