--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -13,25 +13,26 @@
 )
 
 type commands struct {
-	Serve     serveCommand     `cmd:"" help:"Run a balancer, a control voter or both."`
-	Check     checkCommand     `cmd:"" help:"Validate settings and configuration files."`
-	Machine   machineCommand   `cmd:"" help:"Run a process on a VM of the platform."`
-	Apply     applyCommand     `cmd:"" help:"Replace all services and presets."`
-	Preset    presetCommand    `cmd:"" help:"Switch or list presets."`
-	Zone      zoneCommand      `cmd:"" help:"Evacuate, restore or list availability zones."`
-	Status    statusCommand    `cmd:"" help:"Show voters and balancers."`
-	Audit     auditCommand     `cmd:"" help:"Print the audit trail of changes."`
-	Drain     drainCommand     `cmd:"" help:"Start the planned stop of a balancer."`
-	Forget    forgetCommand    `cmd:"" help:"Declare a balancer permanently gone."`
-	Remove    removeCommand    `cmd:"" help:"Permanently remove a control voter."`
-	Replay    replayCommand    `cmd:"" help:"Replay a recorded trace and print its effects."`
-	Explain   explainCommand   `cmd:"" help:"Explain from logs why a flow or request failed, or how a change was applied."`
-	Followers followersCommand `cmd:"" help:"Show from logs which balancer follows which, and why."`
-	Capacity  capacityCommand  `cmd:"" help:"Measure resource costs and write the capacity page."`
-	Load      loadCommand      `cmd:"" help:"Generate load of flows and requests on running balancers."`
-	Demo      demoCommand      `cmd:"" help:"Run all components on loopback in one process, with injected failures."`
-	Soak      soakCommand      `cmd:"" help:"Run randomized fault-injection tests on real processes."`
-	Version   versionCommand   `cmd:"" help:"Print the version."`
+	Serve      serveCommand      `cmd:"" help:"Run a balancer, a control voter or both."`
+	Check      checkCommand      `cmd:"" help:"Validate settings and configuration files."`
+	Machine    machineCommand    `cmd:"" help:"Run a process on a VM of the platform."`
+	Apply      applyCommand      `cmd:"" help:"Replace all services and presets."`
+	Preset     presetCommand     `cmd:"" help:"Switch or list presets."`
+	Zone       zoneCommand       `cmd:"" help:"Evacuate, restore or list availability zones."`
+	Status     statusCommand     `cmd:"" help:"Show voters and balancers."`
+	Audit      auditCommand      `cmd:"" help:"Print the audit trail of changes."`
+	Drain      drainCommand      `cmd:"" help:"Start the planned stop of a balancer."`
+	Forget     forgetCommand     `cmd:"" help:"Declare a balancer permanently gone."`
+	Remove     removeCommand     `cmd:"" help:"Permanently remove a control voter."`
+	Replay     replayCommand     `cmd:"" help:"Replay a recorded trace and print its effects."`
+	Explain    explainCommand    `cmd:"" help:"Explain from logs why a flow or request failed, or how a change was applied."`
+	Followers  followersCommand  `cmd:"" help:"Show from logs which balancer follows which, and why."`
+	Capacity   capacityCommand   `cmd:"" help:"Measure resource costs and write the capacity page."`
+	Load       loadCommand       `cmd:"" help:"Generate load of flows and requests on running balancers."`
+	SharedLoad sharedLoadCommand `cmd:"" help:"Show the load of all availability zones as known at balancers and voters."`
+	Demo       demoCommand       `cmd:"" help:"Run all components on loopback in one process, with injected failures."`
+	Soak       soakCommand       `cmd:"" help:"Run randomized fault-injection tests on real processes."`
+	Version    versionCommand    `cmd:"" help:"Print the version."`
 }
 
 // Main parses the arguments, runs the command and returns the exit status.
--- a/internal/cookie/router/place.go
+++ b/internal/cookie/router/place.go
@@ -50,7 +50,11 @@
 	service := pickBackend(configured.backends, hash)
 	settled := now.Sub(r.targetsKnownAt) >= settlePeriod || r.settings.Off.Has(mechanism.Settling)
 	if v, rejected := r.checkAdmission(now, service, configured.Route, hash); rejected && settled {
-		r.service(service).load.noteRejected()
+		s := r.service(service)
+		s.load.noteRejected()
+		if v.SlotLimit > 0 {
+			s.zoneUse.rejected[s.load.tier]++
+		}
 		return v
 	}
 	t, spilled := r.choose(now, service, configured.Class, hash)
--- a/internal/cookie/router/service.go
+++ b/internal/cookie/router/service.go
@@ -118,7 +118,7 @@
 	// The average of the concurrency limit is kept up to date for the time without a fresh view.
 	limit, reached := r.concurrencyReached(now, name, s, route.Class, urgent)
 	if r.updateZoneUse(now, name, s) {
-		d := s.decideByUse(now, route.Objective, hash, urgent)
+		d := s.decideByUse(now, route.Class, route.Objective, hash, urgent)
 		if d.Use < zoneadmission.Idle {
 			return Verdict{}, false
 		}
--- a/internal/cookie/router/zoneadmission.go
+++ b/internal/cookie/router/zoneadmission.go
@@ -5,7 +5,9 @@
 
 	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/metric/minimum"
+	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/overload/zoneadmission"
+	"wasabideal/internal/zoneload/report"
 	"wasabideal/internal/zoneload/snapshot"
 )
 
@@ -30,6 +32,11 @@
 	// work is how long a request occupies a slot, 0 if unknown.
 	work    time.Duration
 	history zoneadmission.History
+	// latest holds the latest flow of each tier that was decided by the load of all zones, and decided
+	// whether there was one. rejected counts the flows rejected by it since TakeRejected.
+	latest   [report.Tiers]zoneadmission.Flow
+	decided  [report.Tiers]bool
+	rejected [report.Tiers]int
 	// urgentObjectives holds the objectives of recent urgent flows, nil before the first.
 	urgentObjectives *minimum.Window
 }
@@ -106,12 +113,18 @@
 	return max(s.medianResponseTime-r.meanHandshake, 0)
 }
 
+// presentLoad returns the load of all zones with this balancer's present requests in flight.
+func (s *service) presentLoad() zoneadmission.Load {
+	load := s.zoneUse.load
+	load.InFlight = float64(s.load.inFlight)
+	return load
+}
+
 // decideByUse decides on a new flow by the load of all zones, which must be known. The hash is that of
 // the flow's caller.
-func (s *service) decideByUse(now time.Time, objective time.Duration, hash uint64, urgent bool) zoneadmission.Decision {
+func (s *service) decideByUse(now time.Time, class configuration.Class, objective time.Duration, hash uint64, urgent bool) zoneadmission.Decision {
 	u := &s.zoneUse
-	load := u.load
-	load.InFlight = float64(s.load.inFlight)
+	load := s.presentLoad()
 	f := zoneadmission.Flow{Objective: objective, Work: u.work, Urgent: urgent, Number: hash}
 	switch {
 	case urgent && objective > 0:
@@ -122,6 +135,9 @@
 	case !urgent && u.urgentObjectives != nil:
 		f.UrgentObjective, _ = u.urgentObjectives.Shortest(now)
 	}
+	if class != configuration.Upload {
+		u.latest[s.load.tier], u.decided[s.load.tier] = f, true
+	}
 	return zoneadmission.Decide(load, f)
 }
 
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -30,6 +30,7 @@
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/upstream/owner"
 	"wasabideal/internal/wire/rpc"
+	"wasabideal/internal/zoneload/status"
 )
 
 const identityFile = "identity.json"
@@ -156,6 +157,9 @@
 	c.feed.Serve(c.server, c.settings.GroupToken)
 	c.upstreams.Serve(c.server)
 	c.openLoad()
+	rpc.Handle(c.server, status.Method, c.settings.OperatorToken, func(context.Context, empty) (status.Status, error) {
+		return c.loadStatus(), nil
+	})
 	return nil
 }
 
--- a/internal/daemon/control/load.go
+++ b/internal/daemon/control/load.go
@@ -12,6 +12,7 @@
 	"wasabideal/internal/zoneload/report"
 	"wasabideal/internal/zoneload/schedule"
 	"wasabideal/internal/zoneload/socket"
+	"wasabideal/internal/zoneload/status"
 )
 
 const (
@@ -80,6 +81,30 @@
 	}
 }
 
+type empty struct{}
+
+// loadStatus returns the load that the voter knows.
+func (c *Control) loadStatus() status.Status {
+	s := status.Status{Address: c.AdvertisedAddress(), Shared: c.load != nil}
+	if c.load != nil {
+		s.Zones = status.Zones(c.load.zones())
+	}
+	return s
+}
+
+// zones returns the sums by zone.
+func (s *loadService) zones() []report.Zone {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	zones := s.reports.Zones(now)
+	s.countBalancers(now)
+	for i := range zones {
+		zones[i].Known = s.known[zones[i].Name]
+	}
+	return zones
+}
+
 // OnReport stores a balancer's report and answers with the sums by zone.
 func (s *loadService) OnReport(r report.Report, queued time.Duration) [][]byte {
 	s.mu.Lock()
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -142,6 +142,7 @@
 	leaving     atomic.Bool
 	ready       atomic.Bool
 	decisionLog decisionLog
+	zoneLog     zoneLog
 	counts      *counts
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -163,6 +164,9 @@
 	if uplink.NeedsPacing(s.LinkBytesPerSecond) && !s.Off.Has(mechanism.Pacing) {
 		b.uploads = newUploads(s.LinkBytesPerSecond)
 	}
+	if s.SharedLoad {
+		b.counts.registerSharedLoad()
+	}
 	b.link = newLink(s, b.counts.registry)
 	self, err := b.setUpFollower()
 	b.router = router.New(router.Settings{
@@ -312,6 +316,7 @@
 			b.decisionLog.flush(now, b.log)
 			b.logLink(now)
 			b.logLinkAdmission(now)
+			b.logZoneDecisions(now)
 			b.mu.Unlock()
 		}
 	}
--- a/internal/daemon/cookie/fanout.go
+++ b/internal/daemon/cookie/fanout.go
@@ -25,6 +25,7 @@
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/upstream/handover"
 	"wasabideal/internal/wire/rpc"
+	"wasabideal/internal/zoneload/status"
 )
 
 const (
@@ -96,6 +97,9 @@
 	rpc.Handle(x.server, upstreams.ForwardMethod, s.Token, func(ctx context.Context, all []handover.Announcement) (empty, error) {
 		return empty{}, x.announcements.Add(ctx, b.batchDelay(false), all...)
 	})
+	rpc.Handle(x.server, status.Method, s.Token, func(context.Context, empty) (status.Status, error) {
+		return b.loadStatus(f.Self.Address), nil
+	})
 	b.fanout = x
 	return f.Self.Address, nil
 }
--- a/internal/daemon/cookie/load.go
+++ b/internal/daemon/cookie/load.go
@@ -107,7 +107,11 @@
 			defer b.mu.Unlock()
 			b.router.SetLoad(now, s)
 		},
-		link:     func(time.Time) report.Link { return report.Link{} },
+		link: func(time.Time) report.Link {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.linkState()
+		},
 		stopping: b.leaving.Load, counts: b.counts, log: b.log,
 	}, l)
 }
--- a/internal/daemon/cookie/metrics.go
+++ b/internal/daemon/cookie/metrics.go
@@ -38,14 +38,14 @@
 		zonesRefused:   metrics.NewRegisteredCounter("ZonesRefusedTotal", r),
 		unresponsive:   metrics.NewRegisteredCounter("UnresponsiveTotal", r),
 		reportedEvents: metrics.NewRegisteredCounter("SilenceReportedTotal", r),
-		rejectedUse:    metrics.NewRegisteredCounter("FlowsRejectedUseTotal", r),
-		flowsSpilled:   metrics.NewRegisteredCounter("FlowsSpilledTotal", r),
+		rejectedUse:    metrics.NewCounter(),
+		flowsSpilled:   metrics.NewCounter(),
 		opened:         latency.New("Opening", r),
 		answered:       latency.New("Answer", r),
 
-		loadReportsSent:     metrics.NewRegisteredCounter("LoadReportsSentTotal", r),
-		loadReportsReceived: metrics.NewRegisteredCounter("LoadReportsReceivedTotal", r),
-		loadReportsDropped:  metrics.NewRegisteredCounter("LoadReportsDroppedTotal", r),
+		loadReportsSent:     metrics.NewCounter(),
+		loadReportsReceived: metrics.NewCounter(),
+		loadReportsDropped:  metrics.NewCounter(),
 	}
 	for reason := router.Known; reason <= router.Stray; reason++ {
 		c.decisions[reason] = metrics.NewRegisteredCounter("Packets"+reason.String()+"Total", r)
@@ -54,6 +54,17 @@
 	return c
 }
 
+// registerSharedLoad adds the metrics of shared load to the page. Without shared load the page has
+// none of them.
+func (c *counts) registerSharedLoad() {
+	for name, m := range map[string]metrics.Counter{
+		"FlowsRejectedUseTotal": c.rejectedUse, "FlowsSpilledTotal": c.flowsSpilled, "LoadReportsSentTotal": c.loadReportsSent,
+		"LoadReportsReceivedTotal": c.loadReportsReceived, "LoadReportsDroppedTotal": c.loadReportsDropped,
+	} {
+		c.registry.GetOrRegister(name, m)
+	}
+}
+
 // ServeMetrics writes the metrics as text.
 func (b *Balancer) ServeMetrics(w http.ResponseWriter, _ *http.Request) {
 	b.mu.Lock()
--- a/internal/log/story/causes.go
+++ b/internal/log/story/causes.go
@@ -26,7 +26,7 @@
 func describeDecision(l line) string {
 	switch l.Reason {
 	case router.Placed.String():
-		return "placed at upstream " + l.Incarnation
+		return "placed at upstream " + l.Incarnation + describeSpill(l)
 	case router.Repeated.String():
 		return "the first packet of the flow was sent again to the same upstream " + l.Incarnation + ": it got no response in time"
 	case router.NoRoute.String():
@@ -34,10 +34,17 @@
 	case router.NoUpstream.String():
 		return fmt.Sprintf("no upstream of the service accepted flows under revision %d", l.Revision)
 	case router.Busy.String():
+		if l.LinkDelay != "" {
+			return fmt.Sprintf("%s: packets waited %s for the VM's link, too long for another flow; the caller may retry", rejection(l), l.LinkDelay)
+		}
 		return "reset: the number of uploads on the VM's link was at its limit; the caller may retry"
 	case router.Waiting.String():
 		return "buffered: the number of uploads on the VM's link was at its limit"
 	case router.Overloaded.String():
+		if l.SlotLimit > 0 {
+			return fmt.Sprintf("%s: callers of all zones occupied %.2f times the slots of the service, and flows like this one are rejected in part below and all from %.2f on "+
+				"(view %d, measured %s before); the caller may retry", rejection(l), l.Use, l.SlotLimit, l.LoadVersion, l.LoadAge)
+		}
 		return "reset: the response time of the service exceeded the route's objective; the caller may retry"
 	case router.Evacuated.String():
 		return "reset: all upstreams of the service are in evacuated availability zones"
@@ -58,6 +65,23 @@
 	}
 }
 
+// rejection names how a flow was rejected. A copy of an opening is dropped, since another copy may have
+// opened the flow.
+func rejection(l line) string {
+	if l.Action == router.Drop.String() {
+		return "dropped"
+	}
+	return "reset"
+}
+
+// describeSpill tells why a flow was placed in another zone than its balancer's, if it was.
+func describeSpill(l line) string {
+	if l.Zone == "" {
+		return ""
+	}
+	return fmt.Sprintf(" in zone %s: the balancer's own zone had too few free slots (view %d, measured %s before)", l.Zone, l.LoadVersion, l.LoadAge)
+}
+
 func summarizeFlow(shown, matched []line) []string {
 	out := lo.Map(matched, func(l line, _ int) string {
 		return fmt.Sprintf("%s at %s: %s", l.At.Format(timeFormat), l.Process, describeDecision(l))
--- a/internal/log/story/line.go
+++ b/internal/log/story/line.go
@@ -50,6 +50,13 @@
 	Verdict     string
 	Copy        uint32
 	Revision    uint64
+	// Zone, LoadVersion and LoadAge are set for a flow that the load of all zones decided, Use and
+	// SlotLimit if it was rejected, and LinkDelay for one that the VM's link could not carry.
+	Zone           string
+	Use, SlotLimit float64
+	LoadVersion    uint64
+	LoadAge        string
+	LinkDelay      string
 }
 
 // line is a decoded log line with its text.
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -13,6 +13,7 @@
 	"wasabideal/internal/daemon/balancer"
 	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/wire/rpc"
+	"wasabideal/internal/zoneload/status"
 )
 
 const (
@@ -171,6 +172,11 @@
 	return call[empty, reducer.Status](ctx, address, c.token, balancer.StatusMethod, empty{})
 }
 
+// Load returns the load of all zones as known at a balancer or voter.
+func (c *Client) Load(ctx context.Context, address string) (status.Status, error) {
+	return call[empty, status.Status](ctx, address, c.token, status.Method, empty{})
+}
+
 // Drain starts the planned stop of a balancer.
 func (c *Client) Drain(ctx context.Context, address string) error {
 	_, err := call[empty, empty](ctx, address, c.token, balancer.DrainMethod, empty{})
--- a/internal/zoneload/snapshot/snapshot.go
+++ b/internal/zoneload/snapshot/snapshot.go
@@ -64,6 +64,9 @@
 	return z.received.Balancers == 0 || maxScale*z.received.Balancers >= z.received.Known
 }
 
+// Known returns the number of the zone's balancers that the voter knows.
+func (z Zone) Known() int { return z.received.Known }
+
 // Demand returns the number of slots that the zone's callers occupy at a service, in all zones.
 func (z Zone) Demand(service string) float64 {
 	sum := 0.0
