--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -92,6 +92,9 @@
 	// SharedLoad enables the exchange of load reports with other balancers and the voters, and the
 	// decisions that use them.
 	SharedLoad bool
+	// UnevenUpstreams enables, in addition to SharedLoad, the detection of upstreams that answer
+	// more shortly than others.
+	UnevenUpstreams bool
 	// LinkBytesPerSecond is the bandwidth of the VM's link; 0 disables pacing.
 	LinkBytesPerSecond float64
 	// Off lists the disabled mechanisms.
@@ -143,6 +146,7 @@
 	leaving     atomic.Bool
 	ready       atomic.Bool
 	decisionLog decisionLog
+	zoneLog     zoneLog
 	// weightLog limits the log lines on weights. verdictsApplied is the revision of the verdicts that
 	// the router holds.
 	weightLog       *ratelimit.Limiter
@@ -169,6 +173,9 @@
 	if uplink.NeedsPacing(s.LinkBytesPerSecond) && !s.Off.Has(mechanism.Pacing) {
 		b.uploads = newUploads(s.LinkBytesPerSecond)
 	}
+	if s.SharedLoad {
+		b.counts.registerSharedLoad(s.uneven())
+	}
 	b.link = newLink(s, b.counts.registry)
 	self, err := b.setUpFollower()
 	b.router = router.New(router.Settings{
@@ -320,6 +327,7 @@
 			b.decisionLog.flush(now, b.log)
 			b.logLink(now)
 			b.logLinkAdmission(now)
+			b.logZoneDecisions(now)
 			b.mu.Unlock()
 		}
 	}
--- a/internal/daemon/cookie/metrics.go
+++ b/internal/daemon/cookie/metrics.go
@@ -40,16 +40,16 @@
 		zonesRefused:   metrics.NewRegisteredCounter("ZonesRefusedTotal", r),
 		unresponsive:   metrics.NewRegisteredCounter("UnresponsiveTotal", r),
 		reportedEvents: metrics.NewRegisteredCounter("SilenceReportedTotal", r),
-		rejectedUse:    metrics.NewRegisteredCounter("FlowsRejectedUseTotal", r),
-		flowsSpilled:   metrics.NewRegisteredCounter("FlowsSpilledTotal", r),
-		answersShort:   metrics.NewRegisteredCounter("AnswersShortTotal", r),
-		uneven:         metrics.NewRegisteredCounter("UnevenUpstreamsTotal", r),
+		rejectedUse:    metrics.NewCounter(),
+		flowsSpilled:   metrics.NewCounter(),
+		answersShort:   metrics.NewCounter(),
+		uneven:         metrics.NewCounter(),
 		opened:         latency.New("Opening", r),
 		answered:       latency.New("Answer", r),
 
-		loadReportsSent:     metrics.NewRegisteredCounter("LoadReportsSentTotal", r),
-		loadReportsReceived: metrics.NewRegisteredCounter("LoadReportsReceivedTotal", r),
-		loadReportsDropped:  metrics.NewRegisteredCounter("LoadReportsDroppedTotal", r),
+		loadReportsSent:     metrics.NewCounter(),
+		loadReportsReceived: metrics.NewCounter(),
+		loadReportsDropped:  metrics.NewCounter(),
 	}
 	for reason := router.Known; reason <= router.Stray; reason++ {
 		c.decisions[reason] = metrics.NewRegisteredCounter("Packets"+reason.String()+"Total", r)
@@ -58,13 +58,30 @@
 	return c
 }
 
+// registerSharedLoad adds the metrics of shared load, and of uneven upstreams if these are detected, to
+// the page. Without shared load the page has none of them.
+func (c *counts) registerSharedLoad(uneven bool) {
+	all := map[string]metrics.Counter{
+		"FlowsRejectedUseTotal": c.rejectedUse, "FlowsSpilledTotal": c.flowsSpilled, "LoadReportsSentTotal": c.loadReportsSent,
+		"LoadReportsReceivedTotal": c.loadReportsReceived, "LoadReportsDroppedTotal": c.loadReportsDropped,
+	}
+	if uneven {
+		all["AnswersShortTotal"], all["UnevenUpstreamsTotal"] = c.answersShort, c.uneven
+	}
+	for name, m := range all {
+		c.registry.GetOrRegister(name, m)
+	}
+}
+
 // ServeMetrics writes the metrics as text.
 func (b *Balancer) ServeMetrics(w http.ResponseWriter, _ *http.Request) {
 	b.mu.Lock()
 	set := func(name string, v int) { metrics.GetOrRegisterGauge(name, b.counts.registry).Update(int64(v)) }
 	set("Revision", int(b.router.Revision()))
 	set("Flows", b.router.Flows())
-	set("UpstreamsReduced", b.router.Reduced())
+	if b.settings.uneven() {
+		set("UpstreamsReduced", b.router.Reduced())
+	}
 	set("EvacuationsRevision", int(b.evacuations.Revision))
 	set("ZonesEvacuated", len(b.evacuations.EvacuatedZones()))
 	if b.uploads != nil {
--- a/internal/daemon/cookie/uneven.go
+++ b/internal/daemon/cookie/uneven.go
@@ -13,7 +13,9 @@
 const maxWeightLines = 20
 
 // uneven reports whether short answers are counted and the voters' verdicts on them used.
-func (s Settings) uneven() bool { return s.SharedLoad && !s.Off.Has(mechanism.Uneven) }
+func (s Settings) uneven() bool {
+	return s.SharedLoad && s.UnevenUpstreams && !s.Off.Has(mechanism.Uneven)
+}
 
 // updateUneven reports the counts of answers, and applies the voters' verdicts. The caller holds the
 // lock.
--- a/internal/daemon/cookie/uneven_test.go
+++ b/internal/daemon/cookie/uneven_test.go
@@ -92,7 +92,7 @@
 		b, err := cookie.Listen(cookie.Settings{
 			Fabric: fabric, Sources: []string{voter.Address()}, Zone: "a", Token: "group", StopTimeout: 10 * time.Second,
 			Codec: jsonCodec{}, Clock: time.Now, Rpc: "127.0.0.1:0", Announcements: "127.0.0.1:1",
-			Shape: tree.Shape{Roots: 1, Fanout: 4}, StaleAfter: 2 * time.Second, SharedLoad: true,
+			Shape: tree.Shape{Roots: 1, Fanout: 4}, StaleAfter: 2 * time.Second, SharedLoad: true, UnevenUpstreams: true,
 		}, hclog.NewNullLogger())
 		require.NoError(t, err)
 		b.Start(context.Background())
