--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -15,14 +15,15 @@
 
 // soakCommand runs randomized fault-injection tests on real processes.
 type soakCommand struct {
-	Seed      uint64        `help:"Seed of the first run." default:"1"`
-	Runs      int           `help:"Number of runs, each with the next seed." default:"1"`
-	For       time.Duration `help:"Duration of fault injection in each run." default:"20s"`
-	Folder    string        `help:"Folder for settings, data and logs; if empty, a new temporary folder."`
-	Balancers int           `help:"Number of balancers." default:"6"`
-	Upstreams int           `help:"Initial number of upstreams." default:"8"`
-	Callers   int           `help:"Number of callers." default:"12"`
-	Busy      int           `help:"Number of busy loops that compete for the CPUs." default:"0"`
+	Seed       uint64        `help:"Seed of the first run." default:"1"`
+	Runs       int           `help:"Number of runs, each with the next seed." default:"1"`
+	For        time.Duration `help:"Duration of fault injection in each run." default:"20s"`
+	Folder     string        `help:"Folder for settings, data and logs; if empty, a new temporary folder."`
+	Balancers  int           `help:"Number of balancers." default:"6"`
+	Upstreams  int           `help:"Initial number of upstreams." default:"8"`
+	Callers    int           `help:"Number of callers." default:"12"`
+	Busy       int           `help:"Number of busy loops that compete for the CPUs." default:"0"`
+	SharedLoad bool          `help:"Let processes share their load, and add bursts of load to the faults."`
 }
 
 // Help shows an example.
@@ -55,7 +56,7 @@
 		seed := c.Seed + uint64(n)
 		result, err := run.Execute(ctx, run.Settings{
 			Seed: seed, For: c.For, Program: program, Folder: filepath.Join(folder, fmt.Sprint("seed-", seed)),
-			Zones: 3, Balancers: c.Balancers, Upstreams: c.Upstreams, Callers: c.Callers, Busy: c.Busy, Platform: standin.New(),
+			Zones: 3, Balancers: c.Balancers, Upstreams: c.Upstreams, Callers: c.Callers, Busy: c.Busy, SharedLoad: c.SharedLoad, Platform: standin.New(),
 		})
 		var violation *run.BrokenError
 		switch {
--- a/internal/soak/proxy/proxy.go
+++ b/internal/soak/proxy/proxy.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -29,13 +30,17 @@
 // bufferSize is the maximum size of a chunk in bytes.
 const bufferSize = 32 << 10
 
-// Proxy forwards TCP connections to one target address.
+// Proxy forwards TCP connections and UDP datagrams to one target address.
 type Proxy struct {
-	listener net.Listener
-	target   string
-	mu       sync.Mutex
-	fault    Fault
-	open     map[net.Conn]bool
+	listener  net.Listener
+	datagrams *net.UDPConn
+	target    string
+	mu        sync.Mutex
+	fault     Fault
+	open      map[net.Conn]bool
+	// sessions are the sockets to the target by UDP client.
+	sessions map[netip.AddrPort]net.Conn
+	closed   bool
 	running  sync.WaitGroup
 }
 
@@ -45,12 +50,29 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for proxy: %w", err)
 	}
-	p := &Proxy{listener: l, target: target, fault: None, open: map[net.Conn]bool{}}
-	p.running.Add(1)
+	// Listen accepts port 0: both protocols use the port that TCP received.
+	at, err := net.ResolveUDPAddr("udp4", l.Addr().String())
+	if err != nil {
+		_ = l.Close()
+		return nil, fmt.Errorf("resolve address of proxy: %w", err)
+	}
+	d, err := net.ListenUDP("udp4", at)
+	if err != nil {
+		_ = l.Close()
+		return nil, fmt.Errorf("listen for datagrams of proxy: %w", err)
+	}
+	p := &Proxy{
+		listener: l, datagrams: d, target: target, fault: None, open: map[net.Conn]bool{}, sessions: map[netip.AddrPort]net.Conn{},
+	}
+	p.running.Add(2)
 	go p.accept()
+	go p.forwardDatagrams()
 	return p, nil
 }
 
+// Address returns the address at which the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
 // Set changes the injected fault for open and new connections.
 func (p *Proxy) Set(f Fault) {
 	p.mu.Lock()
@@ -79,8 +101,11 @@
 
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
-	p.Reset()
+	_, _ = p.listener.Close(), p.datagrams.Close()
+	p.mu.Lock()
+	p.closed = true
+	p.resetAll()
+	p.mu.Unlock()
 	p.running.Wait()
 }
 
--- a/internal/soak/run/platform.go
+++ b/internal/soak/run/platform.go
@@ -32,6 +32,11 @@
 	// Founding is set for a voter that starts a new system instead of joining the existing one.
 	Founding bool
 	Folder   string
+	// LinkMbps is the bandwidth that the process assumes for its link. The loopback does not limit it.
+	LinkMbps int
+	// Zones are all availability zones, separated by commas; with several zones and a narrow link,
+	// processes share their load.
+	Zones string
 }
 
 // Segment is a packet as the endpoints of a flow send and receive it.
@@ -78,8 +83,10 @@
 	Folder                               string
 	Zones, Balancers, Upstreams, Callers int
 	// Busy is the number of busy loops that compete with the run for CPU time.
-	Busy     int
-	Platform Platform
+	Busy int
+	// SharedLoad gives processes the settings with which they share their load.
+	SharedLoad bool
+	Platform   Platform
 }
 
 // SettingError reports a setting outside its bounds.
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -20,6 +20,9 @@
 
 const (
 	voters = 3
+	// wideLinkMbps is so much that balancers do not budget their link; narrowLinkMbps is the link
+	// of a small VM.
+	wideLinkMbps, narrowLinkMbps = 1000, 2
 	// maxZones is the maximum number of availability zones.
 	maxZones = 8
 	// startTimeout limits the time until the first request is answered.
@@ -211,7 +214,11 @@
 func (r *Run) zone(z int) string { return fmt.Sprint("zone-", z%r.settings.Zones) }
 
 func (r *Run) startVM(m VM) error {
-	m.Folder = filepath.Join(r.settings.Folder, m.Name)
+	m.Folder, m.LinkMbps = filepath.Join(r.settings.Folder, m.Name), wideLinkMbps
+	if r.settings.SharedLoad {
+		m.LinkMbps = narrowLinkMbps
+		m.Zones = strings.Join(lo.Times(r.settings.Zones, r.zone), ",")
+	}
 	if err := os.MkdirAll(m.Folder, 0o750); err != nil {
 		return fmt.Errorf("create folder: %w", err)
 	}
