--- a/internal/soak/run/callers.go
+++ b/internal/soak/run/callers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,11 +29,14 @@
 // caller opens flows one after another and sends requests on each.
 type caller struct {
 	run      *Run
+	zone     string
 	ip       netip.Addr
 	conn     *net.UDPConn
 	packets  chan received
 	port     uint16
 	requests int
+	// busy is held while a burst or a probe uses the caller: the last flow of a burst may outlast it.
+	busy sync.Mutex
 }
 
 // received is a packet that a caller received, with its sender.
@@ -41,17 +45,18 @@
 	from netip.AddrPort
 }
 
-func (r *Run) startCaller(ip string) error {
-	a := netip.MustParseAddr(ip)
+// listenAsCaller returns caller n of a kind, which receives packets.
+func (r *Run) listenAsCaller(kind, n int) (*caller, error) {
+	z := n % r.settings.Zones
+	a := netip.MustParseAddr(ip(kind, z, n))
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(a, FabricPort)))
 	if err != nil {
-		return fmt.Errorf("listen for caller: %w", err)
+		return nil, fmt.Errorf("listen for caller: %w", err)
 	}
-	c := &caller{run: r, ip: a, conn: conn, packets: make(chan received, 64), port: 1024}
+	c := &caller{run: r, zone: r.zone(z), ip: a, conn: conn, packets: make(chan received, 64), port: 1024}
 	r.closers = append(r.closers, func() { _ = conn.Close() })
 	r.startGoroutine(c.receive)
-	r.startGoroutine(c.openFlows)
-	return nil
+	return c, nil
 }
 
 func (c *caller) receive() {
@@ -77,7 +82,7 @@
 // send sends a packet to the balancer that the fabric's hash selects for its flow.
 func (c *caller) send(s Segment) {
 	c.run.callersCPU.wait()
-	ready := c.run.rotation()
+	ready := c.run.rotation(c.zone)
 	if len(ready) == 0 {
 		return
 	}
@@ -121,21 +126,31 @@
 	return received{}, false
 }
 
-func (c *caller) runFlow() {
+// open opens a flow and returns the next segment that the caller sends on it. The result is false if
+// the opening is rejected or not answered.
+func (c *caller) open(address netip.AddrPort) (Segment, bool) {
 	c.port++
 	s := Segment{Open: true}
 	s.Opening = true
-	s.Caller, s.Address = netip.AddrPortFrom(c.ip, c.port), c.run.nextRoute()
+	s.Caller, s.Address = netip.AddrPortFrom(c.ip, c.port), address
 	s.Sequence = rand.Uint32()
 	opened, ok := c.exchange(s, openTimeout, func(p Segment) bool { return p.Open || p.Reset })
 	if !ok || opened.Reset {
 		c.run.count(&c.run.unopened)
-		return
+		return s, false
 	}
 	c.run.count(&c.run.opened)
 	next := s
 	next.Opening, next.Open, next.Acknowledge, next.Copy = false, false, true, 0
 	next.Sequence, next.Acknowledged, next.Cookie = s.Sequence+1, opened.Sequence+1, opened.Cookie
+	return next, true
+}
+
+func (c *caller) runFlow() {
+	next, ok := c.open(c.run.nextRoute())
+	if !ok {
+		return
+	}
 	var incarnation uint64
 	limit := maxRequests
 	if c.port%2 == 0 {
@@ -185,5 +200,9 @@
 	next.Acknowledged = p.Sequence + uint32(len(p.Data))
 	next.Cookie = p.Cookie
 	next.Data = nil
+	if c.run.settings.SharedLoad {
+		// Balancers count the slot of a request as occupied until its response is acknowledged.
+		c.send(*next)
+	}
 	return a, true
 }
--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -27,11 +27,13 @@
 	disks := rand.New(rand.NewPCG(r.settings.Seed, 2))
 	restarts := rand.New(rand.NewPCG(r.settings.Seed, 3))
 	stalls := rand.New(rand.NewPCG(r.settings.Seed, 4))
+	bursts := rand.New(rand.NewPCG(r.settings.Seed, 5))
 	for end := time.Now().Add(r.settings.For); time.Now().Before(end) && ctx.Err() == nil; {
 		r.injectFault(random)
 		r.diskFault(disks)
 		r.restartUpstream(restarts)
 		r.stall(stalls)
+		r.burst(bursts)
 		time.Sleep(time.Duration(random.Int64N(int64(maxFaultGap))))
 		r.checkExits()
 	}
--- a/internal/soak/run/operate.go
+++ b/internal/soak/run/operate.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"wasabideal/internal/model/configuration"
 )
 
@@ -18,11 +21,15 @@
 	for _, s := range services {
 		c.Services = append(c.Services, configuration.Service{Name: s, Protocol: configuration.TCP, HealthPath: "/health"})
 	}
-	for n, s := range services {
+	for n := range r.routes() {
+		s := services[n%len(services)]
 		x := configuration.Route{
 			Name: fmt.Sprint("route-", n), Address: route(n), Service: s, Class: configuration.Unrepeatable,
 			Timeout: time.Duration(1000+r.published) * time.Millisecond,
 		}
+		if r.settings.SharedLoad {
+			x.Objective, x.Priority = objective, n/len(services)
+		}
 		c.Routes = append(c.Routes, x)
 		r.permittedServices[x.Address] = map[string]bool{s: true}
 	}
@@ -90,14 +97,21 @@
 }
 
 // rotation returns the balancers to which the fabric sends: the ready balancers, or all balancers
-// if fewer than half are ready.
-func (r *Run) rotation() []netip.AddrPort {
+// if fewer than half are ready. With shared load, callers of a zone use the ready ones of their zone
+// if there are any, so that zones differ in load.
+func (r *Run) rotation(zone string) []netip.AddrPort {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	selected := r.readyBalancers
 	if 2*len(selected) < len(r.balancers) {
 		selected = r.balancers
 	}
+	if r.settings.SharedLoad {
+		near := lo.Filter(r.balancers, func(b string, n int) bool { return r.zone(n) == zone && slices.Contains(selected, b) })
+		if len(near) > 0 {
+			selected = near
+		}
+	}
 	addresses := make([]netip.AddrPort, 0, len(selected))
 	for _, b := range selected {
 		addresses = append(addresses, netip.AddrPortFrom(netip.MustParseAddr(b), FabricPort))
--- a/internal/soak/run/platform.go
+++ b/internal/soak/run/platform.go
@@ -120,4 +120,7 @@
 	InvariantEvacuated = "an evacuated zone gets no new flow after seconds"
 	InvariantExit      = "no process ends by itself"
 	InvariantRecover   = "all serve again after the faults"
+	InvariantPriority  = "urgent flows are served no less than ordinary ones"
+	InvariantBurst     = "service is back a second after a burst"
+	InvariantLoad      = "balancers know the load of zones"
 )
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -42,7 +42,9 @@
 	Seed                                   uint64
 	Opened, Unopened, Answered, Unanswered int
 	Faults, Published                      int
-	Broken                                 []string
+	// Load is nil in a run without shared load.
+	Load   *LoadResult `json:",omitempty"`
+	Broken []string
 }
 
 // Run is the state of one soak run.
@@ -55,6 +57,8 @@
 	proxies      []*proxy.Proxy
 	closers      []func()
 	vms          []VM
+	// burstCallers send requests only in bursts.
+	burstCallers []*caller
 	running      sync.WaitGroup
 
 	mu        sync.Mutex
@@ -73,7 +77,10 @@
 	replacingDisk atomic.Bool
 	network       network
 	// callersCPU and upstreamsCPU are the CPUs that all callers and all upstreams share.
-	callersCPU, upstreamsCPU               simulatedCPU
+	callersCPU, upstreamsCPU simulatedCPU
+	// burstEnd is when the last burst of load ends.
+	burstEnd                               time.Time
+	load                                   LoadResult
 	ended                                  bool
 	opened, unopened, answered, unanswered int
 }
@@ -95,12 +102,18 @@
 	}
 	r.injectFaults(ctx)
 	r.checkRecovery()
+	if s.SharedLoad {
+		r.checkLoad()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ended = true
 	r.result.Opened, r.result.Unopened = r.opened, r.unopened
 	r.result.Answered, r.result.Unanswered = r.answered, r.unanswered
 	r.result.Published = int(r.published)
+	if s.SharedLoad {
+		r.result.Load = &r.load
+	}
 	return r.result, nil
 }
 
@@ -178,6 +191,7 @@
 	kindBalancer
 	kindUpstream
 	kindCaller
+	kindBurstCaller
 )
 
 func (r *Run) start() error {
@@ -280,9 +294,14 @@
 	r.startGoroutine(r.operate)
 	r.startGoroutine(r.evacuateZones)
 	for n := range r.settings.Callers {
-		if err := r.startCaller(ip(kindCaller, n%r.settings.Zones, n)); err != nil {
+		c, err := r.listenAsCaller(kindCaller, n)
+		if err != nil {
 			return err
 		}
+		r.startGoroutine(c.openFlows)
+	}
+	if err := r.prepareBursts(); err != nil {
+		return err
 	}
 	for r.answeredCount() == 0 {
 		if time.Now().After(end) {
@@ -302,7 +321,7 @@
 func (r *Run) nextRoute() netip.AddrPort {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return route(r.opened % len(services))
+	return route(r.opened % r.routes())
 }
 
 func (r *Run) isPermitted(address netip.AddrPort, service string) bool {
--- a/internal/soak/run/upstreams.go
+++ b/internal/soak/run/upstreams.go
@@ -40,14 +40,21 @@
 	cpu simulatedCPU
 	mu  sync.Mutex
 	// flows are the open flows by caller.
-	flows               map[netip.AddrPort]*upstreamFlow
+	flows map[netip.AddrPort]*upstreamFlow
+	// slots holds an element for each request that is executed now.
+	slots               chan struct{}
 	drainAcknowledgedAt time.Time
 	done                chan struct{}
 }
 
+// slotsPerUpstream is the number of requests that an upstream executes at the same time.
+const slotsPerUpstream = 2
+
 type upstreamFlow struct {
 	nextSequence uint32
 	response     Segment
+	// executing is set until the response to the last request is known.
+	executing bool
 }
 
 func (r *Run) startUpstream(address string, service, zone string) (*simulatedUpstream, error) {
@@ -61,10 +68,10 @@
 		_ = conn.Close()
 		return nil, fmt.Errorf("listen for probes of upstream: %w", err)
 	}
-	u := &simulatedUpstream{run: r, conn: conn, probeListener: probeListener, flows: map[netip.AddrPort]*upstreamFlow{}, done: make(chan struct{})}
+	u := &simulatedUpstream{run: r, conn: conn, probeListener: probeListener, flows: map[netip.AddrPort]*upstreamFlow{}, slots: make(chan struct{}, slotsPerUpstream), done: make(chan struct{})}
 	u.self = upstream.Upstream{
 		Identity: upstream.Identity{Service: service, Address: a, Incarnation: rand.Uint64() >> 24},
-		Zone:     zone, Slots: 2, State: upstream.Ready, Born: uint64(time.Now().UnixMilli()),
+		Zone:     zone, Slots: slotsPerUpstream, State: upstream.Ready, Born: uint64(time.Now().UnixMilli()),
 	}
 	r.startGoroutine(u.serve)
 	r.startGoroutine(u.announce)
@@ -205,8 +212,29 @@
 			return
 		}
 		f.response = Segment{Acknowledge: true, Data: data}
+		if u.run.settings.SharedLoad {
+			f.executing = true
+			u.run.startGoroutine(func() { u.execute(p, f) })
+		}
+	}
+	if !f.executing {
+		u.reply(p, f.response, f.nextSequence)
+	}
+}
+
+// execute occupies a slot for workDuration and then sends the response. Requests wait for a slot.
+func (u *simulatedUpstream) execute(p Segment, f *upstreamFlow) {
+	u.slots <- struct{}{}
+	time.Sleep(workDuration)
+	<-u.slots
+	u.wait()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	f.executing = false
+	// A restart drops the flow and its requests.
+	if u.flows[p.Caller] == f {
+		u.reply(p, f.response, f.nextSequence)
 	}
-	u.reply(p, f.response, f.nextSequence)
 }
 
 // reply sends a packet directly to the caller, bypassing the balancers. The packet has the cookie
