--- a/internal/cookie/router/decisions.go
+++ b/internal/cookie/router/decisions.go
@@ -35,6 +35,8 @@
 	out := make([]ServiceState, 0, len(r.pools))
 	for _, name := range slices.Sorted(maps.Keys(r.pools)) {
 		p, s := r.pools[name], r.services[name]
+		// With placement by zone disabled, nothing else counts the usable slots.
+		r.countUsable(now, p)
 		x := ServiceState{Decision: status.Decision{Service: name, Usable: p.usableByZone(), Shares: p.sharesByZone()}}
 		if s != nil {
 			r.describeUse(now, name, s, &x)
--- a/internal/cookie/router/decisions_test.go
+++ b/internal/cookie/router/decisions_test.go
@@ -43,9 +43,10 @@
 	require.Zero(t, x.Ordinary)
 }
 
-// Guards against limits that are shown although admission by use is disabled.
-func TestStateWithoutAdmissionByUse(t *testing.T) {
-	off, err := mechanism.Parse("ZoneAdmission")
+// Guards against limits that are shown although admission by use is disabled, and against usable slots
+// that nothing counts while placement by zone is.
+func TestStateWithoutDecisions(t *testing.T) {
+	off, err := mechanism.Parse("ZoneAdmission,ZonePlacement")
 	require.NoError(t, err)
 	r := admissionRouter(t, off)
 	r.SetLoad(epoch, localLoad(1, epoch, 20))
@@ -54,6 +55,7 @@
 	require.False(t, x.UseKnown)
 	require.Zero(t, x.Ordinary)
 	require.Zero(t, x.Rejected)
+	require.Equal(t, map[string]float64{"a": 4, "b": 4}, x.Usable)
 }
 
 // Guards against shares and usable slots that differ from those by which flows are placed.
--- a/internal/zoneload/status/status.go
+++ b/internal/zoneload/status/status.go
@@ -67,7 +67,7 @@
 // Decision is the state of the decisions on new flows of one service.
 type Decision struct {
 	Service string
-	// Usable holds the usable slots by zone as of the latest update of the shares.
+	// Usable holds the usable slots by zone.
 	Usable map[string]float64
 	// Shares holds the shares of new flows that go to other zones.
 	Shares []Share
