--- a/internal/overload/zoneadmission/doc.go
+++ b/internal/overload/zoneadmission/doc.go
@@ -20,7 +20,8 @@
 // A view is some 250 ms old, longer than queues take to fill. What the own zone's callers occupy is
 // therefore scaled by the growth of this balancer's own requests in flight since the view was measured. The
 // growth since it arrived would leave out that time: flows are then rejected in turns too little and too
-// much. What callers of other zones occupy is not scaled: a burst in one zone would count as one in all.
+// much. What callers of other zones occupy is scaled only while zones are busy: a burst in one zone would
+// otherwise count as one in all.
 //
 // The package does no I/O and reads no clock.
 package zoneadmission
--- a/internal/overload/zoneadmission/zoneadmission.go
+++ b/internal/overload/zoneadmission/zoneadmission.go
@@ -5,6 +5,9 @@
 // Idle is the use below which no flow is rejected: half of the slots are free.
 const Idle = 0.5
 
+// busy is the use above which no zone has much room for the callers of others.
+const busy = 0.8
+
 const (
 	// growthOffset, minGrowth and maxGrowth are those of package admission: two requests in flight
 	// instead of one do not mean that the load has doubled.
@@ -39,11 +42,16 @@
 // Measured returns the occupied slots per slot when the view was measured.
 func (l Load) Measured() float64 { return l.Occupied / l.Slots }
 
-// Use estimates the occupied slots per slot.
+// Use estimates the occupied slots per slot. While the view shows busy zones, this balancer's growth
+// stands for that of all balancers: a burst in all zones would otherwise be seen a third as fast, and
+// fill the queues. Below that, the growth may be that of its own zone alone, which other zones have room
+// for.
 func (l Load) Use() float64 {
-	growth := (l.InFlight + growthOffset) / (l.InFlightThen + growthOffset)
-	own := (l.Occupied - l.Elsewhere) * min(max(growth, minGrowth), maxGrowth)
-	return (own + l.Elsewhere) / l.Slots
+	growth := min(max((l.InFlight+growthOffset)/(l.InFlightThen+growthOffset), minGrowth), maxGrowth)
+	if l.Measured() >= busy {
+		return l.Measured() * growth
+	}
+	return ((l.Occupied-l.Elsewhere)*growth + l.Elsewhere) / l.Slots
 }
 
 // Flow describes a new flow.
--- a/internal/overload/zoneadmission/zoneadmission_test.go
+++ b/internal/overload/zoneadmission/zoneadmission_test.go
@@ -74,12 +74,15 @@
 }
 
 // Guards against a growth that outweighs the view, and against one that scales the load by callers of
-// other zones: a balancer's few requests must neither hide a load nor invent one. The bounds are
-// compared up to the rounding of a few operations.
+// other zones while these have room: a balancer's few requests must neither hide a load nor invent one.
+// The bounds are compared up to the rounding of a few operations.
 func TestUseStaysNearTheView(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		load := drawLoad(t)
 		own, elsewhere := (load.Occupied-load.Elsewhere)/load.Slots, load.Elsewhere/load.Slots
+		if load.Measured() >= 0.8 {
+			own, elsewhere = load.Measured(), 0
+		}
 		rounding := 1e-14 * load.Measured()
 		require.GreaterOrEqual(t, load.Use(), 0.5*own+elsewhere-rounding)
 		require.LessOrEqual(t, load.Use(), 3*own+elsewhere+rounding)
