--- a/internal/capacity/page/page.go
+++ b/internal/capacity/page/page.go
@@ -56,6 +56,7 @@
 	p.renderFailures(&b, plan)
 	b.WriteString(limitsText)
 	b.WriteString(fleetText)
+	b.WriteString(sharedLoadText)
 	b.WriteString(sweepsText)
 	p.renderSlopes(&b)
 	return b.Bytes()
