--- a/internal/zoneload/report/decode.go
+++ b/internal/zoneload/report/decode.go
@@ -1,7 +1,5 @@
 package report
 
-import "errors"
-
 // DecodeReport decodes a report, or returns a DecodeError.
 func DecodeReport(data []byte) (Report, error) {
 	var w wireReport
@@ -68,8 +66,6 @@
 	return z, nil
 }
 
-var errTooLong = errors.New("more than the maximum size")
-
 // validFigures reports whether the figures of a report or zone are within their bounds.
 func validFigures(age, delay, use, balancers uint64) bool {
 	return max(age, delay) <= maxMilliseconds && use <= maxCount && balancers > 0 && balancers <= maxCount
@@ -78,7 +74,7 @@
 // decode decodes a whole message.
 func decode(data []byte, w any) error {
 	if len(data) > MaxSize {
-		return &DecodeError{Field: "message", Cause: errTooLong}
+		return &DecodeError{Field: "message", Cause: &SizeError{Size: len(data)}}
 	}
 	if err := decoder.Unmarshal(data, w); err != nil {
 		return &DecodeError{Field: "message", Cause: err}
--- a/internal/zoneload/report/wire.go
+++ b/internal/zoneload/report/wire.go
@@ -1,7 +1,7 @@
 package report
 
 import (
-	"errors"
+	"fmt"
 	"math"
 	"net/netip"
 	"time"
@@ -130,7 +130,12 @@
 	}()
 )
 
-var errTooShort = errors.New("array is too short")
+// ArrayLengthError reports an array with fewer elements than the message needs.
+type ArrayLengthError struct{ Elements, Needed int }
+
+func (e *ArrayLengthError) Error() string {
+	return fmt.Sprintf("array of %d elements, %d needed", e.Elements, e.Needed)
+}
 
 // decodeArray decodes the elements of an array. It ignores further elements, which later versions
 // may append.
@@ -140,7 +145,7 @@
 		return err
 	}
 	if len(raw) < len(elements) {
-		return errTooShort
+		return &ArrayLengthError{Elements: len(raw), Needed: len(elements)}
 	}
 	for i, e := range elements {
 		if err := decoder.Unmarshal(raw[i], e); err != nil {
