--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -83,7 +83,7 @@
 	UnknownCookie
 	// Ended means that the upstream has terminated.
 	Ended
-	// Busy means that the link has no capacity for another upload.
+	// Busy means that the VM's link has no capacity for another upload, or for another flow.
 	Busy
 	// Waiting means that the opening is buffered until the link has capacity for another
 	// upload.
