--- a/review/harness/machine.go
+++ b/review/harness/machine.go
@@ -32,10 +32,12 @@
 
 // Site holds the machines of one run.
 type Site struct {
-	Folder   string
-	Record   *Record
-	words    words
-	network  string
+	Folder  string
+	Record  *Record
+	words   words
+	network string
+	// cold is what the configuration says of cold targets, empty for nothing.
+	cold     string
 	machines []*Machine
 }
 
--- a/review/harness/operator.go
+++ b/review/harness/operator.go
@@ -85,19 +85,19 @@
 }
 
 // Configuration returns the document of a version; its content depends on the version.
-func Configuration(version int) ([]byte, error) {
+func (s *Site) Configuration(version int) ([]byte, error) {
 	b, err := os.ReadFile(filepath.Join("review", "platform", "configuration.json"))
 	if err != nil {
 		return nil, err
 	}
-	text := strings.NewReplacer("$VERSION", fmt.Sprint(version), "$TIMEOUT", fmt.Sprint(1500+version)).Replace(string(b))
+	text := strings.NewReplacer("$VERSION", fmt.Sprint(version), "$TIMEOUT", fmt.Sprint(1500+version), "$COLD", s.cold).Replace(string(b))
 	return []byte(text), nil
 }
 
 // Publish sends a version to the machines in turn until one acknowledges it, for at most the given
 // time. It returns that machine, or nil.
 func (s *Site) Publish(version int, to []*Machine, within time.Duration) *Machine {
-	body, err := Configuration(version)
+	body, err := s.Configuration(version)
 	if err != nil {
 		s.Record.Write("version %d: %v", version, err)
 		return nil
@@ -127,3 +127,39 @@
 	s.Record.Write("configuration asked of %s: status %d, version %d", m.Name, status, c.Version)
 	return c.Version
 }
+
+// SetCold sets what the services' cold targets bear, for the configurations that are sent from now on.
+func (s *Site) SetCold(d time.Duration, perSecond float64) {
+	b, err := os.ReadFile(filepath.Join("review", "platform", "cold.json"))
+	if err != nil {
+		s.Record.Write("%v", err)
+		return
+	}
+	s.cold = strings.NewReplacer("$SECONDS", fmt.Sprint(d.Seconds()), "$RATE", fmt.Sprint(perSecond)).Replace(strings.TrimSpace(string(b)))
+}
+
+// Ready reports whether a machine answers the routers' check with 200.
+func (s *Site) Ready(m *Machine) bool {
+	_, path, _ := strings.Cut(s.words["ready"], " ")
+	client := http.Client{Timeout: 400 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := client.Get("http://" + m.IP + ":8167" + path)
+	if err != nil {
+		return false
+	}
+	_ = a.Body.Close()
+	return a.StatusCode == http.StatusOK
+}
+
+// WaitReady waits until all machines are ready.
+func (s *Site) WaitReady(fronts []*Machine, within time.Duration) bool {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		all := true
+		for _, m := range fronts {
+			all = all && s.Ready(m)
+		}
+		if all {
+			return true
+		}
+	}
+	return false
+}
