--- a/review/harness/clients.go
+++ b/review/harness/clients.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,8 @@
 	// rotation are the machines that the routers use.
 	rotation []*Machine
 	resets   []Reset
+	// via are the machines that took packets of each flow since its handshake.
+	via map[netip.AddrPort][]*Machine
 	// Asked, Answered and Failed count the requests.
 	Asked, Answered, Failed atomic.Int64
 }
@@ -37,13 +40,15 @@
 	Flow netip.AddrPort
 	// Open is set if the client had completed the handshake.
 	Open bool
+	// Via are the machines that took the flow's packets since the handshake.
+	Via []*Machine
 }
 
 // NewClients creates the clients of a zone at one loopback address.
 func (s *Site) NewClients(host int, fronts []*Machine, route string) (*Clients, error) {
 	c := &Clients{
 		site: s, fronts: fronts, route: netip.MustParseAddrPort(route), ip: netip.MustParseAddr(s.Address(host)),
-		port: 20000, waiting: map[uint16]chan Packet{}, sent: map[netip.AddrPort]time.Time{}, rotation: fronts,
+		port: 20000, waiting: map[uint16]chan Packet{}, sent: map[netip.AddrPort]time.Time{}, rotation: fronts, via: map[netip.AddrPort][]*Machine{},
 	}
 	var err error
 	if c.socket, err = listenUDP(s.Address(host) + ":8172"); err != nil {
@@ -81,6 +86,9 @@
 	_, _ = h.Write([]byte(p.From.String() + p.To.String()))
 	c.mu.Lock()
 	to := c.rotation[int(h.Sum32())%len(c.rotation)]
+	if p.Flags&FlagOpen == 0 && !slices.Contains(c.via[p.From], to) {
+		c.via[p.From] = append(c.via[p.From], to)
+	}
 	c.mu.Unlock()
 	_, _ = c.socket.WriteToUDPAddrPort(p.Encode(), netip.MustParseAddrPort(to.IP+":8172"))
 }
@@ -131,7 +139,7 @@
 func (c *Clients) recordReset(flow netip.AddrPort, open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.resets = append(c.resets, Reset{At: time.Now(), Flow: flow, Open: open})
+	c.resets = append(c.resets, Reset{At: time.Now(), Flow: flow, Open: open, Via: c.via[flow]})
 }
 
 // Sent returns when the client sent the first opening of a flow.
@@ -177,6 +185,7 @@
 		case <-ctx.Done():
 		case <-time.After(pause):
 		case p := <-in:
+			f.echo = p.Echo
 			if p.Flags&FlagReset != 0 {
 				c.recordReset(from, true)
 				return
