--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -172,6 +172,8 @@
 	// notices and configuration cache responses that many starting balancers request.
 	notices       responseCache[noticesKey]
 	configuration responseCache[configurationKey]
+	// firstStates and firstStateBytes count the responses with all upstreams.
+	firstStates, firstStateBytes int
 }
 
 // lastPoll is the time and relay depth of a balancer's last poll.
--- a/internal/control/feed/response.go
+++ b/internal/control/feed/response.go
@@ -100,9 +100,19 @@
 		// If encoding fails, the balancer receives the other voters' upstreams later from its parent.
 		resp.Elsewhere, _ = f.remoteUpstreams.body(now, req.Self.Zone)
 	}
+	f.firstStates++
+	f.firstStateBytes += len(resp.Encoded) + len(resp.Elsewhere)
 	return true
 }
 
+// FirstStates returns how many responses with all upstreams were made since the start, and their size in
+// bytes before compression.
+func (f *Feed) FirstStates() (responses, bytes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.firstStates, f.firstStateBytes
+}
+
 // Decoded returns the response with all notices decoded into Notices. The voter's own notices come
 // last, so that they override those of other voters.
 func (r Response) Decoded() (Response, error) {
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -144,6 +144,9 @@
 	v.persistedCommit = d.Commit
 	v.updateMembers()
 	v.replay()
+	if x := v.agreement.Status(v.settings.Clock()); x.Last > 0 {
+		v.log.Info("state read from disk", "Revision", v.ledger.Current().Revision, "Accepted", x.Commit, "Last", x.Last, "Term", x.Term)
+	}
 	return nil
 }
 
--- a/internal/cookie/follower/fetcher.go
+++ b/internal/cookie/follower/fetcher.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"wasabideal/internal/configuration/history"
+	"wasabideal/internal/configuration/lag"
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/wire/rpc"
@@ -37,9 +38,11 @@
 type fetcher struct {
 	token   string
 	traffic *rpc.Traffic
+	clock   func() time.Time
 	handler Handler
 	log     hclog.Logger
 	mu      sync.Mutex
+	lag     *lag.Tracker
 	// voters returns the fallback sources for when a parent does not deliver the revision it
 	// announced.
 	voters func() []string
@@ -58,6 +61,7 @@
 func newFetcher(token string, h Handler, voters func() []string, log hclog.Logger) *fetcher {
 	return &fetcher{
 		voters: voters, token: token, handler: h, log: log, available: map[string]uint64{}, attempts: map[string]int{}, wake: make(chan struct{}, 1),
+		clock: time.Now, lag: lag.New(time.Now()),
 	}
 }
 
@@ -65,6 +69,7 @@
 func (f *fetcher) noteRevision(address string, revision uint64) {
 	f.mu.Lock()
 	f.available[address] = max(f.available[address], revision)
+	f.lag.Announce(f.clock(), address, revision)
 	f.mu.Unlock()
 	select {
 	case f.wake <- struct{}{}:
@@ -159,7 +164,9 @@
 			}
 			pause = min(2*pause, maxFetchBackoff)
 		}
-		if err := f.fetch(ctx, address); err != nil {
+		err := f.fetch(ctx, address)
+		f.recordFetch(address, err)
+		if err != nil {
 			f.fallBackToVoters(address)
 			f.log.Warn("failed to fetch configuration", "Address", address, "Error", err)
 			continue
@@ -167,6 +174,7 @@
 		if f.handler.Configuration().Revision == current {
 			// The response was not newer. The source counts as tried: an immediate retry would loop
 			// and keep both sides busy.
+			f.log.Info("fetched configuration is not newer", "Address", address, "Announced", f.revision(address), "Held", current)
 			f.fallBackToVoters(address)
 			continue
 		}
@@ -187,6 +195,40 @@
 	}
 }
 
+// setClock sets the clock; the follower is behind from the present time on until it has a configuration.
+func (f *fetcher) setClock(clock func() time.Time) { f.clock, f.lag = clock, lag.New(clock()) }
+
+// recordPoll records the result of a long poll.
+func (f *fetcher) recordPoll(address string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lag.RecordPoll(address, err)
+}
+
+// recordFetch records the result of a fetch.
+func (f *fetcher) recordFetch(address string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lag.RecordFetch(address, err)
+}
+
+// lagReport returns the fields of the log line that is due while the process is behind.
+func (f *fetcher) lagReport(now time.Time) ([]any, bool) {
+	held := f.handler.Configuration().Revision
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lag.Apply(now, held)
+	return f.lag.Report(now)
+}
+
+// lagStatus returns the newest announced revision, for how long the process has been behind, and how many
+// fetches have failed.
+func (f *fetcher) lagStatus(now time.Time) (announced uint64, behind time.Duration, failed int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lag.Announced(), f.lag.Behind(now), f.lag.FetchesFailed()
+}
+
 // timeout returns the time limit of a fetch from a source.
 func (f *fetcher) timeout(address string) time.Duration {
 	if slices.Contains(f.voters(), address) {
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -136,6 +136,7 @@
 	}
 	f.fetcher = newFetcher(s.Token, h, f.knownVoters, log)
 	f.fetcher.traffic = s.Traffic
+	f.fetcher.setClock(s.Clock)
 	if s.Self.Address != "" {
 		f.selection = selection.New(selection.Settings{
 			Self: s.Self.Address, Shape: s.Shape, StaleAfter: s.StaleAfter, Jitter: jitter(s.Self.Address),
@@ -201,9 +202,26 @@
 		}
 		f.reconcile(now)
 		f.mu.Unlock()
+		f.logLag(now)
 	}
 }
 
+// logLag logs, at most once a second, that this process is behind the newest announced configuration,
+// and what its polls and fetches came to.
+func (f *Follower) logLag(now time.Time) {
+	args, due := f.fetcher.lagReport(now)
+	if !due {
+		return
+	}
+	f.mu.Lock()
+	args = append(args, "Polled", len(f.polled), "Answering", f.countAnsweringVoters(), "Bootstrapped", f.bootstrap.Done())
+	if f.selection != nil {
+		args = append(args, "Parent", f.selection.Parent(), "Level", f.selection.Level())
+	}
+	f.mu.Unlock()
+	f.log.Warn("configuration is behind", args...)
+}
+
 // reconcile starts to poll newly selected sources and stops polling those no longer selected. The
 // caller holds the lock.
 func (f *Follower) reconcile(now time.Time) {
--- a/internal/cookie/follower/parent.go
+++ b/internal/cookie/follower/parent.go
@@ -26,6 +26,9 @@
 	for ctx.Err() == nil {
 		started := f.settings.Clock()
 		updated, err := f.pollParentOnce(ctx, client, address)
+		if ctx.Err() == nil {
+			f.fetcher.recordPoll(address, err)
+		}
 		if err != nil {
 			f.parentFailed(ctx, address, err)
 			return
--- a/internal/cookie/follower/status.go
+++ b/internal/cookie/follower/status.go
@@ -16,6 +16,12 @@
 	// Age is the time since the most recent contact with any voter, direct or relayed. It is also 0
 	// while no state of any voter is known.
 	Age time.Duration
+	// Announced is the newest announced revision of the configuration, and Behind the time for which
+	// this process has not had it, 0 if it is current. FetchesFailed counts the failed requests for a
+	// configuration.
+	Announced     uint64
+	Behind        time.Duration
+	FetchesFailed int
 }
 
 // Level returns the balancer's level in the tree of its zone.
@@ -30,9 +36,11 @@
 
 // Status returns the balancer's position and the age of its state.
 func (f *Follower) Status(now time.Time) Status {
+	announced, behind, failed := f.fetcher.lagStatus(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := Status{
+		Announced: announced, Behind: behind, FetchesFailed: failed,
 		Fresh: f.origins.CountFresh(now, f.settings.StaleAfter), Balancers: len(f.membership.Members()),
 		Followers: len(f.followers.Heartbeats(now)),
 	}
--- a/internal/cookie/follower/voters.go
+++ b/internal/cookie/follower/voters.go
@@ -33,6 +33,9 @@
 			err = f.pollVoterOnce(ctx, client, address)
 		}
 		f.recordResponse(address, src, err == nil && ctx.Err() == nil)
+		if ctx.Err() == nil {
+			f.fetcher.recordPoll(address, err)
+		}
 		if err == nil {
 			if failing {
 				f.log.Info("voter answers again", "Address", address)
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -96,10 +96,17 @@
 	load *loadService
 	// callsLogged is when the numbers of served calls were last logged.
 	callsLogged time.Time
+	firstStates firstStatesLogged
 	cancel      context.CancelFunc
 	running     sync.WaitGroup
 }
 
+// firstStatesLogged is what the last log line on responses with all upstreams covered.
+type firstStatesLogged struct {
+	at               time.Time
+	responses, bytes int
+}
+
 // Listen opens the data folder and listens on Settings.Rpc unless a listener is given.
 func Listen(s Settings, listener net.Listener, log hclog.Logger) (*Control, error) {
 	c := &Control{settings: s, log: log, listener: listener}
--- a/internal/daemon/control/persistence.go
+++ b/internal/daemon/control/persistence.go
@@ -50,7 +50,20 @@
 			args = append(args, strings.ReplaceAll(name, ".", ""), n)
 		}
 	}
-	c.log.Info("calls", args...)
+	c.log.Info("calls", append(args, "Unsent", c.server.Unsent())...)
+}
+
+// firstStateLogInterval is the minimum time between two log lines on responses with all upstreams.
+const firstStateLogInterval = time.Second
+
+// logFirstStates logs the responses with all upstreams since the last such line, if there were any.
+func (c *Control) logFirstStates(now time.Time) {
+	responses, bytes := c.feed.FirstStates()
+	if responses == c.firstStates.responses || now.Sub(c.firstStates.at) < firstStateLogInterval {
+		return
+	}
+	c.log.Info("first states sent", "Responses", responses-c.firstStates.responses, "Bytes", bytes-c.firstStates.bytes, "Unsent", c.server.Unsent())
+	c.firstStates = firstStatesLogged{at: now, responses: responses, bytes: bytes}
 }
 
 // runTicker expires announcements and publishes batched updates.
@@ -66,6 +79,7 @@
 			now := c.settings.Clock()
 			c.feed.Tick(now)
 			c.logCalls(now)
+			c.logFirstStates(now)
 		}
 	}
 }
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -248,9 +248,10 @@
 		b.log.Error("configuration refused", "Error", err)
 		return
 	}
+	held := b.configuration.Revision
 	b.configuration = c
 	b.publishConfiguration(c)
-	b.log.Info("configuration in force", "Revision", c.Revision, "From", address, "Routes", len(c.Routes))
+	b.log.Info("configuration in force", "Revision", c.Revision, "Held", held, "From", address, "Routes", len(c.Routes))
 	b.refreshDue = true
 	b.refresh(b.settings.Clock())
 }
--- a/internal/daemon/cookie/metrics.go
+++ b/internal/daemon/cookie/metrics.go
@@ -90,6 +90,7 @@
 	b.setLinkMetrics(set)
 	b.mu.Unlock()
 	b.setFanoutMetrics(set)
+	b.setLagMetrics(set)
 	if b.load != nil {
 		age, balancers := b.load.state(b.settings.Clock())
 		set("LoadAgeMilliseconds", int(age.Milliseconds()))
@@ -100,6 +101,14 @@
 	}
 }
 
+// setLagMetrics sets the gauges that tell how far the configuration in force is behind the newest announced one.
+func (b *Balancer) setLagMetrics(set func(name string, v int)) {
+	s := b.FollowerStatus()
+	set("RevisionAnnounced", int(s.Announced))
+	set("ConfigurationBehindMilliseconds", int(s.Behind.Milliseconds()))
+	set("ConfigurationFetchesFailed", s.FetchesFailed)
+}
+
 // setFanoutMetrics sets the gauges of the tree: the balancer's level, its followers and
 // the age of its state.
 func (b *Balancer) setFanoutMetrics(set func(name string, v int)) {
--- a/internal/wire/rpc/server.go
+++ b/internal/wire/rpc/server.go
@@ -133,6 +133,8 @@
 type Server struct {
 	methods  map[string]method
 	onDenied func(method string)
+	// unsent counts the responses that could not be sent, as the caller had closed the connection.
+	unsent atomic.Int64
 }
 
 // NewServer returns a server without methods. The server calls onDenied for each call without a
@@ -171,9 +173,16 @@
 	if err != nil {
 		return fmt.Errorf("encode answer of %s: %w", name, err)
 	}
-	return stream.MsgSend(newResponse(body, in.Compressed), encoding{})
+	err = stream.MsgSend(newResponse(body, in.Compressed), encoding{})
+	if err != nil {
+		s.unsent.Add(1)
+	}
+	return err
 }
 
+// Unsent returns the number of responses that could not be sent.
+func (s *Server) Unsent() int64 { return s.unsent.Load() }
+
 func (s *Server) dispatch(ctx context.Context, name string, in request) (any, error) {
 	m, ok := s.methods[name]
 	if !ok {
