--- a/internal/control/feed/cache.go
+++ b/internal/control/feed/cache.go
@@ -6,12 +6,6 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// encodedTTL is how long an encoded response is reused. After a power loss of all VMs, all
-// balancers request the same data within milliseconds: 81 of them waited 90 ms for a voter on
-// half a core that encoded 220 upstreams and 70 routes for each. Ages in a reused response are
-// too low by up to encodedTTL.
-const encodedTTL = 20 * time.Millisecond
-
 // responseCache caches one encoded response together with the key that it depends on.
 type responseCache[K comparable] struct {
 	key  K
--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -169,11 +169,9 @@
 	zone string
 	// fleet holds the balancers that poll this voter, and their followers.
 	fleet *members.Members
-	// notices and configuration cache responses that many starting balancers request.
-	notices       responseCache[noticesKey]
+	// firstStates and configuration cache responses that many starting balancers request.
+	firstStates   firstStates
 	configuration responseCache[configurationKey]
-	// firstStates and firstStateBytes count the responses with all upstreams.
-	firstStates, firstStateBytes int
 }
 
 // lastPoll is the time and relay depth of a balancer's last poll.
@@ -182,12 +180,6 @@
 	relayHops int
 }
 
-// noticesKey identifies an encoding of all notices.
-type noticesKey struct {
-	version  uint64
-	restored bool
-}
-
 // configurationKey identifies an encoding of the changes between two revisions.
 type configurationKey struct{ held, current uint64 }
 
--- a/internal/control/feed/remote.go
+++ b/internal/control/feed/remote.go
@@ -5,22 +5,15 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/samber/lo"
 
 	"wasabideal/internal/upstream/directory"
 )
 
-const (
-	// remoteCacheTTL is how long the encoded upstreams of other voters are reused. Encoding
-	// 3,000 upstreams for each of 300 starting balancers took half of the CPU time of all
-	// voters and delayed the acknowledgment of a configuration to 7 s. Stale entries do no
-	// harm: departures are sent to all voters, and this voter's own state overrides the entries.
-	remoteCacheTTL = time.Second
-	// maxRemoteUpstreams is the number of upstreams of other voters up to which the voter sends
-	// all of them to a starting balancer. If there are more, it sends those of the balancer's
-	// zone, and the parent sends the rest: each takes 40 bytes on a possibly slow link.
-	maxRemoteUpstreams = 500
-)
+// remoteCacheTTL is how long the encoded upstreams of other voters are reused. Encoding
+// 3,000 upstreams for each of 300 starting balancers took half of the CPU time of all
+// voters and delayed the acknowledgment of a configuration to 7 s. Stale entries do no
+// harm: departures are sent to all voters, and this voter's own state overrides the entries.
+const remoteCacheTTL = time.Second
 
 // RemoteSource provides the upstreams that announce themselves to other voters.
 type RemoteSource interface {
@@ -32,10 +25,9 @@
 
 // remoteUpstreams caches the upstreams of other voters, encoded per zone.
 type remoteUpstreams struct {
+	zoneBodies
 	source RemoteSource
 	at     time.Time
-	all    []directory.Notice
-	bodies map[string]cbor.RawMessage
 }
 
 // SetRemoteSource sets the source of upstreams known to other voters. The feed sends them to a
@@ -53,27 +45,10 @@
 		return nil, nil
 	}
 	if e.bodies == nil || now.Sub(e.at) >= remoteCacheTTL {
-		e.at, e.all, e.bodies = now, e.source.Live(now), map[string]cbor.RawMessage{}
-	}
-	all := len(e.all) <= maxRemoteUpstreams
-	if all {
-		zone = ""
-	}
-	if body, cached := e.bodies[zone]; cached {
-		return body, nil
+		e.at, e.zoneBodies = now, newZoneBodies(e.source.Live(now))
 	}
-	selected := e.all
-	if !all {
-		selected = lo.Filter(selected, func(n directory.Notice, _ int) bool { return n.Upstream.Zone == zone })
-	}
-	if len(selected) == 0 {
-		e.bodies[zone] = nil
+	if len(e.notices) == 0 {
 		return nil, nil
 	}
-	body, err := cbor.Marshal(selected)
-	if err != nil {
-		return nil, err
-	}
-	e.bodies[zone] = body
-	return body, nil
+	return e.get(zone, true)
 }
--- a/internal/control/feed/response.go
+++ b/internal/control/feed/response.go
@@ -84,35 +84,31 @@
 }
 
 // attachEncodedNotices adds all notices to a response in encoded form, cached across balancers, and
-// reports whether it did. It adds no notices if the balancer requests only changes or does not
+// reports whether it did. The response then has the version at which they were encoded; later changes
+// follow with the next poll. It adds no notices if the balancer requests only changes or does not
 // accept encoded notices, or if encoding fails.
 func (f *Feed) attachEncodedNotices(now time.Time, req Request, version uint64, resp *Response) bool {
 	if version != 0 || !req.Encoded {
 		return false
 	}
-	key := noticesKey{version: f.directory.Version(), restored: req.Recalled}
-	body, err := f.notices.get(now, key, func() any { return f.noticesSince(now, 0, req.Recalled) })
+	zone := ""
+	if req.Self != nil {
+		zone = req.Self.Zone
+	}
+	body, encodedVersion, err := f.firstState(now, zone, req.Recalled)
 	if err != nil {
 		return false
 	}
-	resp.Encoded = body
+	resp.Encoded, resp.Version = body, encodedVersion
 	if req.Recalled && req.Self != nil {
 		// If encoding fails, the balancer receives the other voters' upstreams later from its parent.
-		resp.Elsewhere, _ = f.remoteUpstreams.body(now, req.Self.Zone)
+		resp.Elsewhere, _ = f.remoteUpstreams.body(now, zone)
 	}
-	f.firstStates++
-	f.firstStateBytes += len(resp.Encoded) + len(resp.Elsewhere)
+	f.firstStates.responses++
+	f.firstStates.bytes += len(resp.Encoded) + len(resp.Elsewhere)
 	return true
 }
 
-// FirstStates returns how many responses with all upstreams were made since the start, and their size in
-// bytes before compression.
-func (f *Feed) FirstStates() (responses, bytes int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.firstStates, f.firstStateBytes
-}
-
 // Decoded returns the response with all notices decoded into Notices. The voter's own notices come
 // last, so that they override those of other voters.
 func (r Response) Decoded() (Response, error) {
--- /dev/null
+++ b/internal/control/feed/zonebodies.go
@@ -0,0 +1,144 @@
+package feed
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/lo"
+
+	"wasabideal/internal/upstream/directory"
+)
+
+const (
+	// maxRemoteUpstreams is the number of upstreams of other voters up to which a voter sends all of
+	// them to a starting balancer. If there are more, it sends those of the balancer's zone and a few
+	// of each service that has too few there, and the parent sends the rest: each takes 40 bytes on a
+	// possibly slow link.
+	maxRemoteUpstreams = 500
+	// minPerService is the number of upstreams of each service up to which a starting balancer
+	// receives those of other zones.
+	minPerService = 64
+)
+
+// zoneBodies holds notices encoded for the balancers of each zone.
+type zoneBodies struct {
+	notices []directory.Notice
+	// restored is the number of notices on restored upstreams.
+	restored int
+	bodies   map[bodyKey]cbor.RawMessage
+}
+
+// bodyKey identifies one encoding. The zone is empty if all notices are included.
+type bodyKey struct {
+	zone     string
+	restored bool
+}
+
+func newZoneBodies(notices []directory.Notice) zoneBodies {
+	restored := lo.CountBy(notices, func(n directory.Notice) bool { return n.Recalled })
+	return zoneBodies{notices: notices, restored: restored, bodies: map[bodyKey]cbor.RawMessage{}}
+}
+
+// get returns the notices for a balancer of a zone, encoded once per zone. Those of restored upstreams
+// are included only if restored is set, and limited to what the zone needs. An empty zone stands for
+// all zones.
+func (z *zoneBodies) get(zone string, restored bool) (cbor.RawMessage, error) {
+	if !restored || z.restored <= maxRemoteUpstreams {
+		zone = ""
+	}
+	key := bodyKey{zone: zone, restored: restored}
+	if body, encoded := z.bodies[key]; encoded {
+		return body, nil
+	}
+	selected := z.notices
+	if !restored {
+		selected = lo.Reject(selected, func(n directory.Notice, _ int) bool { return n.Recalled })
+	} else if zone != "" {
+		selected = selectForZone(selected, zone)
+	}
+	body, err := cbor.Marshal(selected)
+	if err != nil {
+		return nil, err
+	}
+	z.bodies[key] = body
+	return body, nil
+}
+
+// selectForZone returns the notices without those of restored upstreams of other zones, except for up to
+// minPerService upstreams of each service with fewer in the zone.
+func selectForZone(notices []directory.Notice, zone string) []directory.Notice {
+	out := make([]directory.Notice, 0, len(notices)/2)
+	held, remote := map[string]int{}, map[string][]directory.Notice{}
+	for _, n := range notices {
+		service := n.Upstream.Service
+		if !n.Recalled || n.Upstream.Zone == zone {
+			out = append(out, n)
+			held[service]++
+		} else {
+			remote[service] = append(remote[service], n)
+		}
+	}
+	for service, candidates := range remote {
+		if missing := minPerService - held[service]; missing > 0 {
+			out = append(out, spread(candidates, missing, xxhash.Sum64String(zone))...)
+		}
+	}
+	return out
+}
+
+// spread returns up to limit evenly spaced notices. The offset differs by seed, so that not all zones
+// place their flows on the same upstreams.
+func spread(notices []directory.Notice, limit int, seed uint64) []directory.Notice {
+	if len(notices) <= limit {
+		return notices
+	}
+	step := len(notices) / limit
+	offset := int(seed % uint64(step))
+	return lo.Times(limit, func(i int) directory.Notice { return notices[offset+i*step] })
+}
+
+// firstStates holds the encoded upstreams of this voter for starting balancers.
+type firstStates struct {
+	zoneBodies
+	version uint64
+	at      time.Time
+	// responses and bytes count the responses and their size before compression.
+	responses, bytes int
+}
+
+const (
+	// encodedTTL is how long an encoded response is reused. After a power loss of all VMs, all
+	// balancers request the same data within milliseconds: 81 of them waited 90 ms for a voter on
+	// half a core that encoded 220 upstreams and 70 routes for each. Ages in a reused response are
+	// too low by up to encodedTTL.
+	encodedTTL = 20 * time.Millisecond
+	// encodedTTLPerNotice makes the reuse longer for many upstreams. Listing and encoding 10,000
+	// upstreams takes 18 ms of a core; done four times a second, that is a seventh of half a core.
+	encodedTTLPerNotice = 25 * time.Microsecond
+)
+
+// expired reports whether the upstreams are to be encoded again. The version alone does not decide, since
+// each announcement changes it while restored upstreams announce themselves.
+func (s *firstStates) expired(now time.Time) bool {
+	return len(s.notices) == 0 || now.Sub(s.at) >= max(encodedTTL, time.Duration(len(s.notices))*encodedTTLPerNotice)
+}
+
+// firstState returns the encoded upstreams for a starting balancer of a zone, and the version of the
+// directory that they hold.
+func (f *Feed) firstState(now time.Time, zone string, restored bool) (cbor.RawMessage, uint64, error) {
+	s := &f.firstStates
+	if s.expired(now) {
+		s.zoneBodies, s.version, s.at = newZoneBodies(f.directory.Since(now, 0)), f.directory.Version(), now
+	}
+	body, err := s.get(zone, restored)
+	return body, s.version, err
+}
+
+// FirstStates returns how many responses with all upstreams were made since the start, and their size in
+// bytes before compression.
+func (f *Feed) FirstStates() (responses, bytes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.firstStates.responses, f.firstStates.bytes
+}
