--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/lo"
+	"golang.org/x/sync/semaphore"
 
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/fanout/member"
@@ -90,6 +91,8 @@
 	// Uneven is the UnevenVersion that the balancer received last, nil if it requests no verdicts. A
 	// voter that does not know the field ignores it.
 	Uneven *uint64 `cbor:",omitempty"`
+	// AcceptsBusy allows Response.Busy; balancers of earlier versions do not set it.
+	AcceptsBusy bool `cbor:",omitempty"`
 }
 
 // Response holds the updates after the state given in a Request.
@@ -128,6 +131,9 @@
 	// differs from that in the request.
 	Uneven        []evidence.Reduced `cbor:",omitempty"`
 	UnevenVersion uint64             `cbor:",omitempty"`
+	// Busy reports that too many balancers are starting. Of the other fields, only Members and Zone are
+	// set then; the balancer polls again or elsewhere.
+	Busy bool `cbor:",omitempty"`
 }
 
 // Feed holds the state that one voter serves to balancers. It is safe for concurrent use.
@@ -170,7 +176,9 @@
 	// fleet holds the balancers that poll this voter, and their followers.
 	fleet *members.Members
 	// firstStates and configuration cache responses that many starting balancers request.
-	firstStates   firstStates
+	firstStates firstStates
+	// starts limits the first states that are encoded or sent at the same time.
+	starts        *semaphore.Weighted
 	configuration responseCache[configurationKey]
 }
 
@@ -188,12 +196,13 @@
 	return &Feed{
 		life: life, clock: clock, directory: d, changed: make(chan struct{}), detector: accrual.New(), lastPoll: map[string]lastPoll{},
 		uneven: uneven.New(), fleet: members.New(), confirmation: confirmation.New(),
+		starts: semaphore.NewWeighted(maxStarts),
 	}
 }
 
 // Serve registers the feed's RPC methods on a server.
 func (f *Feed) Serve(r *rpc.Server, token string) {
-	rpc.Handle(r, SinceMethod, token, func(ctx context.Context, req Request) (Response, error) { return f.Since(ctx, req), nil })
+	rpc.Handle(r, SinceMethod, token, f.since)
 	rpc.Handle(r, ConfigurationMethod, token, func(_ context.Context, revision uint64) (cbor.RawMessage, error) {
 		return f.encodedConfiguration(revision)
 	})
--- a/internal/control/feed/zonebodies.go
+++ b/internal/control/feed/zonebodies.go
@@ -103,8 +103,9 @@
 	zoneBodies
 	version uint64
 	at      time.Time
-	// responses and bytes count the responses and their size before compression.
-	responses, bytes int
+	// responses and bytes count the responses and their size before compression, busy the polls that
+	// waited in vain for one.
+	responses, bytes, busy int
 }
 
 const (
@@ -135,10 +136,10 @@
 	return body, s.version, err
 }
 
-// FirstStates returns how many responses with all upstreams were made since the start, and their size in
-// bytes before compression.
-func (f *Feed) FirstStates() (responses, bytes int) {
+// FirstStates returns how many responses with all upstreams were made since the start, their size in
+// bytes before compression, and how many polls waited in vain for one.
+func (f *Feed) FirstStates() (responses, bytes, busy int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.firstStates.responses, f.firstStates.bytes
+	return f.firstStates.responses, f.firstStates.bytes, f.firstStates.busy
 }
--- a/internal/cookie/follower/follower_test.go
+++ b/internal/cookie/follower/follower_test.go
@@ -37,6 +37,8 @@
 	initialPolls int
 	// stuck makes the voter hang on every configuration fetch.
 	stuck bool
+	// busy is the number of first polls that the voter answers as busy.
+	busy int
 }
 
 func startVoter(t *testing.T, life uint64) *voter {
@@ -52,7 +54,11 @@
 		if q.Life == 0 {
 			v.initialPolls++
 		}
+		busy := q.Life == 0 && v.initialPolls <= v.busy
 		v.mu.Unlock()
+		if busy {
+			return feed.Response{Busy: true, Members: []string{v.address}}, nil
+		}
 		return v.feed.Since(ctx, q), nil
 	})
 	rpc.Handle(s, feed.ConfigurationMethod, "group", func(ctx context.Context, revision uint64) (history.Response, error) {
@@ -302,6 +308,21 @@
 	require.Equal(t, 1, f.Level())
 }
 
+// Guards against a starting balancer that takes the answer of a busy voter for an empty state.
+func TestBusyVoterIsPolledAgain(t *testing.T) {
+	self, heartbeats := nonRootBalancer()
+	v := startVoter(t, 1)
+	v.busy = 3
+	v.feed.RecordFollowers(time.Now(), heartbeats)
+	v.feed.Announce(time.Now(), upstream.Upstream{Identity: upstream.Identity{Incarnation: 5}, Sequence: 1}, 0)
+	v.publish(7)
+	_, h := startNonRoot(t, time.Now, self, []string{v.address})
+	eventually(t, func() bool { return h.Configuration().Revision == 7 && h.HasUpstreams() })
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	require.Equal(t, 4, v.initialPolls)
+}
+
 func TestEvacuationsAreReceivedImmediately(t *testing.T) {
 	v := startVoter(t, 1)
 	h := startFollower(t, v.address)
--- a/internal/cookie/follower/voters.go
+++ b/internal/cookie/follower/voters.go
@@ -127,7 +127,7 @@
 		Hold: voterHold, Recalled: !hasUpstreams, From: f.settings.From, Encoded: true,
 		Unconfigured: current.Revision == 0 && len(f.reportTargets()) == 0,
 		Life:         known.Life, Version: known.Version, Doubts: known.Doubts, Revision: f.fetcher.revision(address),
-		Evacuations: evacuations,
+		Evacuations: evacuations, AcceptsBusy: f.selection != nil,
 	}
 	if f.settings.Uneven {
 		held := f.verdicts.Held(address)
@@ -153,6 +153,10 @@
 	if err != nil {
 		return err
 	}
+	if a.Busy {
+		f.addVoters(a.Members)
+		return nil
+	}
 	if a, err = a.Decoded(); err != nil {
 		return err
 	}
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -103,8 +103,8 @@
 
 // firstStatesLogged is what the last log line on responses with all upstreams covered.
 type firstStatesLogged struct {
-	at               time.Time
-	responses, bytes int
+	at                     time.Time
+	responses, bytes, busy int
 }
 
 // Listen opens the data folder and listens on Settings.Rpc unless a listener is given.
--- a/internal/daemon/control/persistence.go
+++ b/internal/daemon/control/persistence.go
@@ -58,12 +58,13 @@
 
 // logFirstStates logs the responses with all upstreams since the last such line, if there were any.
 func (c *Control) logFirstStates(now time.Time) {
-	responses, bytes := c.feed.FirstStates()
-	if responses == c.firstStates.responses || now.Sub(c.firstStates.at) < firstStateLogInterval {
+	responses, bytes, busy := c.feed.FirstStates()
+	if responses+busy == c.firstStates.responses+c.firstStates.busy || now.Sub(c.firstStates.at) < firstStateLogInterval {
 		return
 	}
-	c.log.Info("first states sent", "Responses", responses-c.firstStates.responses, "Bytes", bytes-c.firstStates.bytes, "Unsent", c.server.Unsent())
-	c.firstStates = firstStatesLogged{at: now, responses: responses, bytes: bytes}
+	c.log.Info("first states sent", "Responses", responses-c.firstStates.responses, "Bytes", bytes-c.firstStates.bytes,
+		"Busy", busy-c.firstStates.busy, "Unsent", c.server.Unsent())
+	c.firstStates = firstStatesLogged{at: now, responses: responses, bytes: bytes, busy: busy}
 }
 
 // runTicker expires announcements and publishes batched updates.
--- a/internal/wire/rpc/server.go
+++ b/internal/wire/rpc/server.go
@@ -137,6 +137,9 @@
 	unsent atomic.Int64
 }
 
+// Sent is implemented by results that need to know when their response has been sent, or could not be.
+type Sent interface{ Sent() }
+
 // NewServer returns a server without methods. The server calls onDenied for each call without a
 // valid token.
 func NewServer(onDenied func(method string)) *Server {
@@ -166,6 +169,9 @@
 		return err
 	}
 	out, err := s.dispatch(stream.Context(), name, in)
+	if x, ok := out.(Sent); ok {
+		defer x.Sent()
+	}
 	if err != nil {
 		return stream.MsgSend(&response{Kind: errorKind(err), Error: err.Error()}, encoding{})
 	}
