--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -156,6 +156,7 @@
 		},
 	}, c.feed, c.log)
 	c.feed.SetZone(c.settings.Zone)
+	c.feed.SetVoters(c.voter.Members())
 	c.feed.SetRemoteSource(c.remoteUpstreams)
 	c.feed.SetProber(c.prober())
 	c.restoreUpstreams()
--- a/internal/daemon/control/control_test.go
+++ b/internal/daemon/control/control_test.go
@@ -202,6 +202,17 @@
 	require.Equal(t, u.Identity, a.Notices[0].Upstream.Identity)
 }
 
+// Guards against balancers that know only the voters of their settings, because the first responses of a
+// restarted voter list none.
+func TestRestartedVoterListsVotersInFirstResponse(t *testing.T) {
+	f := newCluster(t, 3)
+	f.waitForVoters(3)
+	one := f.founders[0].Address
+	f.stop(one)
+	c := f.startIn(f.folders[one], listen(t, one), true)
+	require.Len(t, fetchUpstreams(t, c.Address()).Members, 3)
+}
+
 // A voter saved its own upstreams and those of all other voters in one file, whose save interval
 // grows with its size. In a large fleet, the saved state of its own upstreams was out of date.
 func TestLocalAndRemoteUpstreamsAreSavedSeparately(t *testing.T) {
