--- a/internal/cookie/follower/fetcher.go
+++ b/internal/cookie/follower/fetcher.go
@@ -46,6 +46,8 @@
 	// voters returns the fallback sources for when a parent does not deliver the revision it
 	// announced.
 	voters func() []string
+	// responsive returns the voters that have been heard of recently, directly or through a parent.
+	responsive func() map[string]bool
 	// available is the newest revision that each source announced; attempts counts the fetches from
 	// a source since the last successful fetch from any source. A newer revision does not reset
 	// attempts. When it did, a balancer kept retrying a parent that delivered none of a series of
@@ -61,7 +63,7 @@
 func newFetcher(token string, h Handler, voters func() []string, log hclog.Logger) *fetcher {
 	return &fetcher{
 		voters: voters, token: token, handler: h, log: log, available: map[string]uint64{}, attempts: map[string]int{}, wake: make(chan struct{}, 1),
-		clock: time.Now, lag: lag.New(time.Now()),
+		clock: time.Now, lag: lag.New(time.Now()), responsive: func() map[string]bool { return nil },
 	}
 }
 
@@ -108,17 +110,15 @@
 }
 
 // nextSource returns a source with a revision newer than current, and whether it was tried before. It
-// prefers the fewest attempts, then the newest revision.
+// prefers the fewest attempts, then responsive voters, then the newest revision. Voters that have not
+// been heard of may take the whole fetchTimeout to fail.
 func (f *fetcher) nextSource(current uint64) (string, bool) {
+	responsive := f.responsive()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	best := ""
 	for address, revision := range f.available {
-		if revision <= current {
-			continue
-		}
-		fewer := f.attempts[address] < f.attempts[best]
-		if best == "" || fewer || f.attempts[address] == f.attempts[best] && revision > f.available[best] {
+		if revision > current && (best == "" || f.precedes(address, best, responsive)) {
 			best = address
 		}
 	}
@@ -129,6 +129,18 @@
 	return best, f.attempts[best] > 1
 }
 
+// precedes reports whether source a is to be tried before source b.
+func (f *fetcher) precedes(a, b string, responsive map[string]bool) bool {
+	switch {
+	case f.attempts[a] != f.attempts[b]:
+		return f.attempts[a] < f.attempts[b]
+	case responsive[a] != responsive[b]:
+		return responsive[a]
+	default:
+		return f.available[a] > f.available[b]
+	}
+}
+
 // resetAttempts clears the attempt counts after a successful fetch.
 func (f *fetcher) resetAttempts() {
 	f.mu.Lock()
--- a/internal/cookie/follower/fetcher_test.go
+++ b/internal/cookie/follower/fetcher_test.go
@@ -56,3 +56,17 @@
 	f.noteRevision("parent", 13)
 	require.Zero(t, f.unavailableRevision(at(3400), 12))
 }
+
+// Guards against a balancer that keeps an older configuration because it asks voters that do not answer
+// before voters that its parent hears from.
+func TestResponsiveVotersAreAskedFirst(t *testing.T) {
+	voters := []string{"seed-1", "seed-2", "seed-3", "voter-4"}
+	f := newFetcher("", nil, func() []string { return voters }, hclog.NewNullLogger())
+	f.responsive = func() map[string]bool { return map[string]bool{"voter-4": true} }
+	f.noteRevision("parent", 42)
+	address, _ := f.nextSource(40)
+	require.Equal(t, "parent", address)
+	f.fallBackToVoters("parent")
+	address, _ = f.nextSource(40)
+	require.Equal(t, "voter-4", address)
+}
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -24,6 +24,7 @@
 	"wasabideal/internal/silence/evaluators"
 	"wasabideal/internal/silence/evidence"
 	"wasabideal/internal/silence/verdicts"
+	"wasabideal/internal/upstream/owner"
 	"wasabideal/internal/wire/pool"
 	"wasabideal/internal/wire/rpc"
 )
@@ -137,6 +138,7 @@
 	f.fetcher = newFetcher(s.Token, h, f.knownVoters, log)
 	f.fetcher.traffic = s.Traffic
 	f.fetcher.setClock(s.Clock)
+	f.fetcher.responsive = f.responsiveVoters
 	if s.Self.Address != "" {
 		f.selection = selection.New(selection.Settings{
 			Self: s.Self.Address, Shape: s.Shape, StaleAfter: s.StaleAfter, Jitter: jitter(s.Self.Address),
@@ -334,6 +336,11 @@
 	return lo.Keys(f.voterSeen)
 }
 
+// responsiveVoters returns the voters with a contact, direct or relayed, within ContactLease.
+func (f *Follower) responsiveVoters() map[string]bool {
+	return lo.SliceToMap(f.Voters(), func(v owner.Voter) (string, bool) { return v.Address, true })
+}
+
 // expireVoter removes a voter that no source has listed for voterExpiry.
 func (f *Follower) expireVoter(now time.Time, voter string) {
 	if now.Sub(f.voterSeen[voter]) >= voterExpiry {
