--- a/internal/daemon/cookie/fanout.go
+++ b/internal/daemon/cookie/fanout.go
@@ -32,11 +32,12 @@
 	// maxDeltas is the number of missed configuration changes up to which a follower gets
 	// deltas.
 	maxDeltas = 64
-	// maxConfigurationBytes limits the configuration response to a follower. At 3 kB, eight
-	// followers use a 2 Mbit/s link for a tenth of a second. A change of 1,400 routes would
-	// take two seconds at each level; followers fetch such a change from the voters, which
-	// have more bandwidth.
-	maxConfigurationBytes = 3 << 10
+	// minConfigurationBytes and configurationLinkTime limit the configuration response to a
+	// follower: eight followers use the link for configurationLinkTime. On a link of 2 Mbit/s that
+	// is 3 kB. A change of 1,400 routes would take two seconds there at each level; followers
+	// fetch such a change from the voters, which have more bandwidth.
+	minConfigurationBytes = 3 << 10
+	configurationLinkTime = 100 * time.Millisecond
 	// followerHeadroom is the ratio of accepted followers to the average number: hashing
 	// spreads balancers unevenly, and some balancers of the same level may have failed.
 	followerHeadroom = 1.25
@@ -49,13 +50,21 @@
 	relay    *relay.Relay
 	// announcements batches the announcements that are forwarded to the parent or the voters.
 	announcements *handover.Batcher
-	mu            sync.Mutex
-	history       history.History
-	sample        *sample.Sampler
-	referral      *referral.Referral
+	// maxConfiguration is the maximum size in bytes of a configuration response to a follower.
+	maxConfiguration int
+	mu               sync.Mutex
+	history          history.History
+	sample           *sample.Sampler
+	referral         *referral.Referral
 }
 
-// OversizeError reports that the configuration response exceeds maxConfigurationBytes;
+// maxConfigurationBytes returns the limit for a configuration response on a link, minConfigurationBytes
+// if its bandwidth is unknown.
+func maxConfigurationBytes(linkBytesPerSecond float64, followers int) int {
+	return max(minConfigurationBytes, int(linkBytesPerSecond*configurationLinkTime.Seconds()/float64(followers)))
+}
+
+// OversizeError reports that the configuration response exceeds the limit of this balancer's link;
 // followers then fetch it from a voter.
 type OversizeError struct{ Size int }
 
@@ -81,9 +90,10 @@
 	b.follower = follower.New(f, b, b.log)
 	x := &fanout{
 		listener: b.link.controlTraffic().Listener(l), history: history.New(maxDeltas), sample: sample.New(), referral: referral.New(s.Shape),
-		relay:         relay.New(b, s.Clock, int(followerHeadroom*float64(s.Shape.Fanout))),
-		announcements: handover.New(s.Clock, b.follower.ForwardAnnouncements),
-		server:        rpc.NewServer(func(method string) { b.log.Warn("rejected call without valid token", "Method", method) }),
+		maxConfiguration: maxConfigurationBytes(s.LinkBytesPerSecond, max(s.Shape.Fanout, 1)),
+		relay:            relay.New(b, s.Clock, int(followerHeadroom*float64(s.Shape.Fanout))),
+		announcements:    handover.New(s.Clock, b.follower.ForwardAnnouncements),
+		server:           rpc.NewServer(func(method string) { b.log.Warn("rejected call without valid token", "Method", method) }),
 	}
 	x.relay.Serve(x.server, s.Token)
 	rpc.Handle(x.server, feed.ConfigurationMethod, s.Token, func(_ context.Context, revision uint64) (cbor.RawMessage, error) {
@@ -133,7 +143,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode configuration: %w", err)
 	}
-	if len(body) > maxConfigurationBytes {
+	if len(body) > x.maxConfiguration {
 		return nil, &OversizeError{Size: len(body)}
 	}
 	return body, nil
