--- a/internal/control/feed/starts.go
+++ b/internal/control/feed/starts.go
@@ -9,8 +9,9 @@
 const (
 	// maxStarts is the number of first states that are encoded or sent at the same time. Further
 	// balancers wait in order. If all were served at once, each would receive its state after the poll
-	// has timed out, and request it anew. At 100 kB each they fill a link of 420 Mbit/s for 0.13 s.
-	maxStarts = 64
+	// has timed out, and request it anew. A poll that waited for its whole hold still has 700 ms:
+	// enough for this many first states of 40 ms each.
+	maxStarts = 16
 	// startTimeout bounds the time for which a response occupies a place: a balancer that lost power
 	// does not receive, and the response blocks.
 	startTimeout = time.Second
