--- a/internal/capacity/measure/cookie.go
+++ b/internal/capacity/measure/cookie.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"time"
 
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/cookie/router"
+	"wasabideal/internal/fanout/member"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/upstream/directory"
@@ -30,6 +32,7 @@
 		{Name: ViewMicros, Per: "upstream of the service", Unit: "us to take over one upstream's news", Sizes: known, Measure: viewMicros},
 		{Name: ViewBytes, Per: "upstream known", Unit: "bytes held", Sizes: known, Measure: viewBytes},
 		{Name: NewsBytes, Per: "upstream known", Unit: "bytes of a voter's first answer", Sizes: known, Measure: firstResponseBytes},
+		{Name: FirstStateMicros, Per: "upstream known", Unit: "us a first state of one of five zones, both ends", Sizes: []float64{1500, 10_000, 21_000}, Measure: firstStateMicros},
 		{Name: QuestionMicros, Per: "upstream known", Unit: "us a question without news, both ends", Sizes: known, Measure: pollMicros},
 	}
 }
@@ -172,6 +175,40 @@
 	return encodedBytes(f.Since(context.Background(), feed.Request{}))
 }
 
+// measuredZones is the number of zones among which the restored upstreams are divided, and
+// firstStateInterval the time between two first states.
+const (
+	measuredZones      = 5
+	firstStateInterval = 5 * time.Millisecond
+)
+
+// firstStateMicros returns the time, in microseconds, of the first poll of a starting balancer at a
+// voter that has restored the given number of upstreams, one of which announces itself before each poll.
+func firstStateMicros(size float64) (float64, error) {
+	now := cookieEpoch
+	zone := func(n int) string { return fmt.Sprint("zone ", n%measuredZones) }
+	restored := func(n int) upstream.Upstream {
+		u := upstreamAt(n)
+		u.Zone = zone(n)
+		return u
+	}
+	f := feed.New(1, directory.New(directory.Settings{SilentAfter: time.Hour, ForgetAfter: time.Hour}), func() time.Time { return now })
+	for n := range int(size) {
+		f.Restore(now, restored(n), 0)
+	}
+	calls := 0
+	return callMicros(1, func(s *rpc.Server) { f.Serve(s, token) }, func(ctx context.Context, c *rpc.Client) error {
+		calls++
+		now = now.Add(firstStateInterval)
+		u := restored(calls % int(size))
+		u.Sequence += uint64(calls)
+		f.Announce(now, u, 0)
+		q := feed.Request{From: "balancer", Encoded: true, Recalled: true, AcceptsBusy: true, AcceptsPacked: true, Hold: time.Second, Self: &member.Member{Zone: zone(calls)}}
+		_, err := rpc.Call[feed.Request, feed.Response](ctx, c, feed.SinceMethod, q)
+		return err
+	})
+}
+
 // pollMicros returns the time, in microseconds, of a poll of a voter without updates, with the given
 // number of upstreams.
 func pollMicros(size float64) (float64, error) {
--- a/internal/capacity/measure/measure.go
+++ b/internal/capacity/measure/measure.go
@@ -35,6 +35,7 @@
 	CookieOpeningNanos = "CookieOpeningNanos" // time to route an opening under cookie routing
 	ViewMicros         = "ViewMicros"         // time to apply the notice of one upstream
 	NewsBytes          = "NewsBytes"          // size of a voter's first response, which describes all upstreams
+	FirstStateMicros   = "FirstStateMicros"   // time of a voter's first response to a starting balancer of one of five zones, both ends
 	ViewBytes          = "ViewBytes"          // memory of the view of all upstreams
 	QuestionMicros     = "QuestionMicros"     // time of a poll at a voter without an update, both ends
 
--- a/internal/capacity/page/cookie.go
+++ b/internal/capacity/page/cookie.go
@@ -42,6 +42,11 @@
 	// reports.
 	seeds            = 3.0
 	startConnections = 2.0
+	// voterCores is a voter's share of a core, voterLink the bytes per second of its link. startLimit is
+	// the shortest bound within which a configuration is in force in any deployment, in seconds.
+	voterCores = 0.24
+	voterLink  = 420e6 / 8
+	startLimit = 3.0
 	// voterConnections is the number of connections of a follower to a voter: one each for polls,
 	// reports and announcements.
 	voterConnections = 3.0
@@ -107,6 +112,12 @@
 	}, p.cookieVoterLines(s)...)
 }
 
+// startSeconds returns the time until one voter of the settings has served its part of the balancers.
+func (p Page) startSeconds(s size) float64 {
+	bytes := p.slopes[measure.NewsBytes].Gradient * s.upstreams / s.zones
+	return s.balancers / seeds * (p.at(measure.FirstStateMicros, s.upstreams)/1e6/voterCores + bytes/voterLink)
+}
+
 // cookieVoterLines returns the lines of a voter that the root balancers of each zone follow.
 func (p Page) cookieVoterLines(s size) []line {
 	const role = "Voter, cookie routing"
@@ -124,7 +135,8 @@
 		{role, "followers", "4 per zone, 8 in a small one", "the tree; after a partition regions keep the voters on their side", followers, 0},
 		{role, "connections", "followers x 3", "polls, reports, announcements", followers * voterConnections, voterDescriptors / 2},
 		{role, "connections while all balancers and upstreams start", "balancers / 3 x 2 + followers x 3 + upstreams / voters", "a starting balancer loads all state from one voter of the settings; upstreams call voters until they are referred to a balancer", s.balancers/seeds*startConnections + followers*voterConnections + s.upstreams/s.voters, voterDescriptors},
-		{role, "core share", "followers / 0.8 s x QuestionMicros / 2 + upstreams / voters / 1.2 s x HandoverMicros / 2 + upstream changes x followers x QuestionMicros / 2", "each balancer on the way batches announcements (internal/upstream/handover)", core, 0.24},
+		{role, "seconds until all balancers that start together have a first state", "balancers / 3 x (FirstStateMicros / 0.24 cores + NewsBytes x upstreams / zones / 420 Mbit/s)", "upstreams of the balancer's zone, encoded once for many balancers; 16 balancers are served at a time (internal/control/feed)", p.startSeconds(s), startLimit},
+		{role, "core share", "followers / 0.8 s x QuestionMicros / 2 + upstreams / voters / 1.2 s x HandoverMicros / 2 + upstream changes x followers x QuestionMicros / 2", "each balancer on the way batches announcements (internal/upstream/handover)", core, voterCores},
 		{role, "bytes per second", "polls x 420 + announcements x 70 + forwarded batches x 250 + reports of all balancers / 5 s + notices", "as above", bytes, 0},
 		{role, "announcements per second without balancers in between", "upstreams / voters / 1.2 s", "if each announcement were a separate RPC", announcementRate, 0},
 	}
--- a/internal/capacity/page/lines.go
+++ b/internal/capacity/page/lines.go
@@ -75,7 +75,7 @@
 	measure.GossipMembers, measure.GossipMicros, measure.GossipUpstreams, measure.UpstreamBytes,
 	measure.WholeBytes, measure.HeldBytes, measure.DeltaBytes, measure.DeltaMicros, measure.FanoutMicros,
 	measure.LogBytes, measure.RecoveryMillis, measure.AcceptMicros,
-	measure.CookieNanos, measure.CookieFlowBytes, measure.CookieOpeningNanos, measure.ViewMicros, measure.NewsBytes,
+	measure.CookieNanos, measure.CookieFlowBytes, measure.CookieOpeningNanos, measure.ViewMicros, measure.NewsBytes, measure.FirstStateMicros,
 	measure.QuestionMicros, measure.FollowMicros, measure.FollowBytes, measure.HandoverMicros, measure.FleetBytes, measure.PlaceMicros, measure.ViewBytes,
 }
 
--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -91,8 +91,10 @@
 	// Uneven is the UnevenVersion that the balancer received last, nil if it requests no verdicts. A
 	// voter that does not know the field ignores it.
 	Uneven *uint64 `cbor:",omitempty"`
-	// AcceptsBusy allows Response.Busy; balancers of earlier versions do not set it.
-	AcceptsBusy bool `cbor:",omitempty"`
+	// AcceptsBusy allows Response.Busy, and AcceptsPacked Response.Packed in place of Response.Encoded
+	// and Response.Elsewhere. Balancers of earlier versions set neither.
+	AcceptsBusy   bool `cbor:",omitempty"`
+	AcceptsPacked bool `cbor:",omitempty"`
 }
 
 // Response holds the updates after the state given in a Request.
@@ -108,6 +110,9 @@
 	Encoded cbor.RawMessage `cbor:",omitempty"`
 	// Elsewhere holds the encoded notices of other voters, for a starting balancer.
 	Elsewhere cbor.RawMessage `cbor:",omitempty"`
+	// Packed holds the same as Elsewhere and Encoded, each in S2 block format, which is compressed once
+	// for many balancers.
+	Packed [][]byte `cbor:",omitempty"`
 	// Configuration is an encoded history.Response for a balancer without a configuration.
 	Configuration cbor.RawMessage `cbor:",omitempty"`
 	// Members are the RPC addresses of all known voters.
--- a/internal/control/feed/feed_test.go
+++ b/internal/control/feed/feed_test.go
@@ -229,7 +229,7 @@
 }
 
 func startingRequest(zone string) feed.Request {
-	return feed.Request{Recalled: true, Encoded: true, Self: self("b1", zone)}
+	return feed.Request{Recalled: true, Encoded: true, AcceptsPacked: true, Self: self("b1", zone)}
 }
 
 func noticeCount(t *testing.T, f *feed.Feed, req feed.Request) int {
--- a/internal/control/feed/remote.go
+++ b/internal/control/feed/remote.go
@@ -4,8 +4,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"wasabideal/internal/upstream/directory"
 )
 
@@ -40,7 +38,7 @@
 }
 
 // body returns the encoded upstreams for a balancer of a zone, or nil if there are none.
-func (e *remoteUpstreams) body(now time.Time, zone string) (cbor.RawMessage, error) {
+func (e *remoteUpstreams) body(now time.Time, zone string) (*encodedBody, error) {
 	if e.source == nil {
 		return nil, nil
 	}
--- a/internal/control/feed/response.go
+++ b/internal/control/feed/response.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/s2"
 	"github.com/samber/lo"
 
 	"wasabideal/internal/configuration/history"
@@ -95,20 +97,36 @@
 	if req.Self != nil {
 		zone = req.Self.Zone
 	}
-	body, encodedVersion, err := f.firstState(now, zone, req.Recalled)
+	own, encodedVersion, err := f.firstState(now, zone, req.Recalled)
 	if err != nil {
 		return false
 	}
-	resp.Encoded, resp.Version = body, encodedVersion
+	resp.Version = encodedVersion
+	bodies := []*encodedBody{own}
 	if req.Recalled && req.Self != nil {
 		// If encoding fails, the balancer receives the other voters' upstreams later from its parent.
-		resp.Elsewhere, _ = f.remoteUpstreams.body(now, zone)
+		if remote, err := f.remoteUpstreams.body(now, zone); err == nil && remote != nil {
+			bodies = []*encodedBody{remote, own}
+		}
 	}
 	f.firstStates.responses++
-	f.firstStates.bytes += len(resp.Encoded) + len(resp.Elsewhere)
+	f.firstStates.bytes += resp.setBodies(bodies, req.AcceptsPacked)
 	return true
 }
 
+// setBodies sets the encoded notices, those of other voters first, and returns their size.
+func (r *Response) setBodies(bodies []*encodedBody, packed bool) int {
+	if packed {
+		r.Packed = lo.Map(bodies, func(b *encodedBody, _ int) []byte { return b.compressed() })
+		return lo.SumBy(r.Packed, func(b []byte) int { return len(b) })
+	}
+	r.Encoded = bodies[len(bodies)-1].raw
+	if len(bodies) > 1 {
+		r.Elsewhere = bodies[0].raw
+	}
+	return len(r.Encoded) + len(r.Elsewhere)
+}
+
 // Decoded returns the response with all notices decoded into Notices. The voter's own notices come
 // last, so that they override those of other voters.
 func (r Response) Decoded() (Response, error) {
@@ -123,11 +141,48 @@
 			return r, err
 		}
 	}
-	r.Notices = slices.Concat(remote, own, r.Notices)
-	r.Elsewhere, r.Encoded = nil, nil
+	packed, err := unpack(r.Packed)
+	if err != nil {
+		return r, err
+	}
+	r.Notices = slices.Concat(packed, remote, own, r.Notices)
+	r.Elsewhere, r.Encoded, r.Packed = nil, nil, nil
 	return r, nil
 }
 
+// unpack decodes notices in S2 block format.
+func unpack(packed [][]byte) ([]directory.Notice, error) {
+	var out []directory.Notice
+	for _, b := range packed {
+		size, err := s2.DecodedLen(b)
+		if err != nil || size > maxPackedNotices {
+			return nil, &PackedError{Size: size}
+		}
+		raw, err := s2.Decode(nil, b)
+		if err != nil {
+			return nil, &PackedError{Size: size}
+		}
+		var notices []directory.Notice
+		if err := cbor.Unmarshal(raw, &notices); err != nil {
+			return nil, err
+		}
+		out = append(out, notices...)
+	}
+	return out, nil
+}
+
+// maxPackedNotices is the largest decompressed size in bytes of a list of notices; a million upstreams
+// fit.
+const maxPackedNotices = 64 << 20
+
+// PackedError reports compressed notices that are too large or damaged. Size is the decompressed size in
+// bytes, 0 if it is unknown.
+type PackedError struct{ Size int }
+
+func (e *PackedError) Error() string {
+	return fmt.Sprintf("compressed notices of %d bytes are damaged or too large; allowed: %d", e.Size, maxPackedNotices)
+}
+
 // respond returns the response to a poll, whether the response holds updates, and a channel that is
 // closed at the next update.
 func (f *Feed) respond(req Request) (Response, bool, chan struct{}) {
--- a/internal/control/feed/zonebodies.go
+++ b/internal/control/feed/zonebodies.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/s2"
 	"github.com/samber/lo"
 
 	"wasabideal/internal/upstream/directory"
@@ -26,7 +27,21 @@
 	notices []directory.Notice
 	// restored is the number of notices on restored upstreams.
 	restored int
-	bodies   map[bodyKey]cbor.RawMessage
+	bodies   map[bodyKey]*encodedBody
+}
+
+// encodedBody holds encoded notices, and the same in S2 block format once a balancer has requested it.
+type encodedBody struct {
+	raw    cbor.RawMessage
+	packed []byte
+}
+
+// compressed returns the notices in S2 block format.
+func (b *encodedBody) compressed() []byte {
+	if b.packed == nil {
+		b.packed = s2.Encode(nil, b.raw)
+	}
+	return b.packed
 }
 
 // bodyKey identifies one encoding. The zone is empty if all notices are included.
@@ -37,13 +52,13 @@
 
 func newZoneBodies(notices []directory.Notice) zoneBodies {
 	restored := lo.CountBy(notices, func(n directory.Notice) bool { return n.Recalled })
-	return zoneBodies{notices: notices, restored: restored, bodies: map[bodyKey]cbor.RawMessage{}}
+	return zoneBodies{notices: notices, restored: restored, bodies: map[bodyKey]*encodedBody{}}
 }
 
 // get returns the notices for a balancer of a zone, encoded once per zone. Those of restored upstreams
 // are included only if restored is set, and limited to what the zone needs. An empty zone stands for
 // all zones.
-func (z *zoneBodies) get(zone string, restored bool) (cbor.RawMessage, error) {
+func (z *zoneBodies) get(zone string, restored bool) (*encodedBody, error) {
 	if !restored || z.restored <= maxRemoteUpstreams {
 		zone = ""
 	}
@@ -57,10 +72,11 @@
 	} else if zone != "" {
 		selected = selectForZone(selected, zone)
 	}
-	body, err := cbor.Marshal(selected)
+	raw, err := cbor.Marshal(selected)
 	if err != nil {
 		return nil, err
 	}
+	body := &encodedBody{raw: raw}
 	z.bodies[key] = body
 	return body, nil
 }
@@ -103,7 +119,7 @@
 	zoneBodies
 	version uint64
 	at      time.Time
-	// responses and bytes count the responses and their size before compression, busy the polls that
+	// responses and bytes count the responses and their size as sent, busy the polls that
 	// waited in vain for one.
 	responses, bytes, busy int
 }
@@ -127,7 +143,7 @@
 
 // firstState returns the encoded upstreams for a starting balancer of a zone, and the version of the
 // directory that they hold.
-func (f *Feed) firstState(now time.Time, zone string, restored bool) (cbor.RawMessage, uint64, error) {
+func (f *Feed) firstState(now time.Time, zone string, restored bool) (*encodedBody, uint64, error) {
 	s := &f.firstStates
 	if s.expired(now) {
 		s.zoneBodies, s.version, s.at = newZoneBodies(f.directory.Since(now, 0)), f.directory.Version(), now
@@ -137,7 +153,7 @@
 }
 
 // FirstStates returns how many responses with all upstreams were made since the start, their size in
-// bytes before compression, and how many polls waited in vain for one.
+// bytes, and how many polls waited in vain for one.
 func (f *Feed) FirstStates() (responses, bytes, busy int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
