--- a/internal/control/feed/starts_internal_test.go
+++ b/internal/control/feed/starts_internal_test.go
@@ -44,7 +44,7 @@
 		require.Equal(t, 100*time.Millisecond, time.Since(begun))
 		a, err = f.since(t.Context(), firstPoll())
 		require.NoError(t, err)
-		require.True(t, a.Busy, "no place within the poll's hold")
+		require.True(t, a.Busy, "no place in time")
 		require.Zero(t, a.Life, "the balancer must not take this response for a state")
 		require.Equal(t, []string{"v1", "v2"}, a.Members)
 		require.Equal(t, 900*time.Millisecond, time.Since(begun))
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -275,12 +275,14 @@
 }
 
 // voterSubset returns the voters that suffice for a limited time: the seeds, and some voters of the
-// balancer's zone. The latter stay reachable if the zone is partitioned.
+// balancer's zone. The latter stay reachable if the zone is partitioned. Until a voter has sent a state,
+// the zones of the others are not known, and some of these relieve busy seeds.
 func (f *Follower) voterSubset() map[string]bool {
 	out := map[string]bool{}
 	maps.Copy(out, f.seeds)
 	local := lo.Filter(lo.Keys(f.voterSeen), func(a string, _ int) bool {
-		return !f.seeds[a] && f.origins.Zone(a) == f.settings.Self.Zone
+		zone := f.origins.Zone(a)
+		return !f.seeds[a] && (zone == f.settings.Self.Zone || zone == "" && !f.bootstrap.Done())
 	})
 	slices.SortFunc(local, func(a, b string) int {
 		return cmp.Compare(hash(a+f.settings.From), hash(b+f.settings.From))
--- a/internal/cookie/follower/follower_test.go
+++ b/internal/cookie/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/netip"
 	"sync"
 	"testing"
@@ -37,8 +38,9 @@
 	initialPolls int
 	// stuck makes the voter hang on every configuration fetch.
 	stuck bool
-	// busy is the number of first polls that the voter answers as busy.
-	busy int
+	// busy is the number of first polls that the voter answers as busy; it then lists itself and others.
+	busy   int
+	others []string
 }
 
 func startVoter(t *testing.T, life uint64) *voter {
@@ -57,7 +59,7 @@
 		busy := q.Life == 0 && v.initialPolls <= v.busy
 		v.mu.Unlock()
 		if busy {
-			return feed.Response{Busy: true, Members: []string{v.address}}, nil
+			return feed.Response{Busy: true, Members: append([]string{v.address}, v.others...)}, nil
 		}
 		return v.feed.Since(ctx, q), nil
 	})
@@ -323,6 +325,20 @@
 	require.Equal(t, 4, v.initialPolls)
 }
 
+// Guards against a fleet that waits for the few voters of its settings while the other voters are idle.
+func TestOtherVotersRelieveBusySeeds(t *testing.T) {
+	self, heartbeats := nonRootBalancer()
+	seed, other := startVoter(t, 1), startVoter(t, 2)
+	seed.busy, seed.others = math.MaxInt, []string{other.address}
+	other.feed.RecordFollowers(time.Now(), heartbeats)
+	other.feed.Announce(time.Now(), upstream.Upstream{Identity: upstream.Identity{Incarnation: 5}, Sequence: 1}, 0)
+	other.publish(7)
+	// The clock stands still, so the period after which all voters are polled never ends.
+	frozen := time.Now()
+	_, h := startNonRoot(t, func() time.Time { return frozen }, self, []string{seed.address})
+	eventually(t, func() bool { return h.Configuration().Revision == 7 && h.HasUpstreams() })
+}
+
 func TestEvacuationsAreReceivedImmediately(t *testing.T) {
 	v := startVoter(t, 1)
 	h := startFollower(t, v.address)
--- a/internal/cookie/follower/voters.go
+++ b/internal/cookie/follower/voters.go
@@ -20,6 +20,17 @@
 // which such a poll checks whether it may be sent.
 const bootstrapPollInterval = 5 * time.Millisecond
 
+// BusyError reports that a voter already serves as many starting balancers as it can.
+type BusyError struct{}
+
+func (*BusyError) Error() string {
+	return "the voter serves other starting balancers; poll it again or another one"
+}
+
+// firstHold is how long a voter may let a starting balancer wait while it knows no voters besides those of
+// its settings. A busy voter then lists the others.
+const firstHold = 200 * time.Millisecond
+
 // pollVoter polls one voter until the context ends or the voter expires.
 func (f *Follower) pollVoter(ctx context.Context, address string, src *source) {
 	client := rpc.NewClient(address, f.settings.Token).CountTraffic(f.settings.Traffic)
@@ -127,7 +138,10 @@
 		Hold: voterHold, Recalled: !hasUpstreams, From: f.settings.From, Encoded: true,
 		Unconfigured: current.Revision == 0 && len(f.reportTargets()) == 0,
 		Life:         known.Life, Version: known.Version, Doubts: known.Doubts, Revision: f.fetcher.revision(address),
-		Evacuations: evacuations, AcceptsBusy: f.selection != nil,
+		Evacuations: evacuations, AcceptsBusy: f.selection != nil, AcceptsPacked: true,
+	}
+	if known.Life == 0 && len(f.voterSeen) <= len(f.seeds) {
+		q.Hold = firstHold
 	}
 	if f.settings.Uneven {
 		held := f.verdicts.Held(address)
@@ -155,7 +169,7 @@
 	}
 	if a.Busy {
 		f.addVoters(a.Members)
-		return nil
+		return &BusyError{}
 	}
 	if a, err = a.Decoded(); err != nil {
 		return err
