--- a/internal/control/feed/start_test.go
+++ b/internal/control/feed/start_test.go
@@ -59,3 +59,19 @@
 	require.NotZero(t, services["archive"])
 	require.Less(t, services["archive"], 100)
 }
+
+// Guards against a balancer that ends, or allocates without bound, on a damaged response.
+func TestDamagedNoticesAreRejected(t *testing.T) {
+	f := restoredFeed(func() time.Time { return epoch }, 10, 1)
+	a := f.Since(t.Context(), startingRequest("zone-0"))
+	require.Len(t, a.Packed, 1)
+	whole := a.Packed[0]
+	for name, damaged := range map[string][]byte{
+		"empty": {}, "cut": whole[:len(whole)/2], "too large": {0xff, 0xff, 0xff, 0xff, 0x0f},
+	} {
+		a.Packed = [][]byte{damaged}
+		_, err := a.Decoded()
+		var packed *feed.PackedError
+		require.ErrorAs(t, err, &packed, name)
+	}
+}
