--- a/internal/fanout/selection/selection.go
+++ b/internal/fanout/selection/selection.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// startupPeriod is how long a balancer always follows the voters after its start. The voters
-	// send it the complete state, and voters that started with it know most balancers by then.
+	// startupPeriod is how long a balancer always follows the voters after it has received the first
+	// list of its zone. The voters send it the complete state, and voters that started with it know
+	// most balancers by then.
 	// With 2 s, most of the voters' load during a rolling restart came from the restarted
 	// balancers, which received each change directly from the voters.
 	startupPeriod = 500 * time.Millisecond
@@ -84,9 +85,10 @@
 // Selection is the parent selection of one balancer.
 type Selection struct {
 	settings Settings
-	started  time.Time
-	place    tree.Place
-	placed   bool
+	// startupUntil is when startupPeriod ends, zero before the first list of the zone.
+	startupUntil time.Time
+	place        tree.Place
+	placed       bool
 	// parent is empty while the balancer follows the voters.
 	parent string
 	// parentFailedAt is when the last parent failed, or zero. Until voterSubsetUntil, a balancer
@@ -108,11 +110,14 @@
 
 // New returns a selection that follows the voters at first.
 func New(s Settings, now time.Time) *Selection {
-	return &Selection{settings: s, started: now, voterSubsetUntil: now.Add(voterSubsetPeriod), freshVoters: map[string]int{}, avoidedUntil: map[string]time.Time{}, quorum: 1}
+	return &Selection{settings: s, voterSubsetUntil: now.Add(voterSubsetPeriod), freshVoters: map[string]int{}, avoidedUntil: map[string]time.Time{}, quorum: 1}
 }
 
 // UpdateZone sets the RPC addresses of the zone's balancers.
 func (s *Selection) UpdateZone(now time.Time, zone []string) {
+	if !s.placed {
+		s.startupUntil, s.voterSubsetUntil = now.Add(startupPeriod), now.Add(voterSubsetPeriod)
+	}
 	s.place, s.placed = s.settings.Shape.PlaceOf(s.settings.Self, zone), true
 	if s.place.Level == 0 && s.parent != "" {
 		s.setParent(now, "", Root)
@@ -214,9 +219,10 @@
 func (s *Selection) Decide(now time.Time) Sources {
 	s.expireAvoided(now)
 	switch {
-	case !s.placed || now.Sub(s.started) < startupPeriod:
-		subset := !s.placed || s.place.Level > 0
-		return Sources{Voters: true, VoterSubset: subset, SingleVoter: subset}
+	case !s.placed || now.Before(s.startupUntil):
+		// The first list may be short, and a balancer at the top by such a list only. All of them
+		// together would poll each voter.
+		return Sources{Voters: true, VoterSubset: true, SingleVoter: !s.placed || s.place.Level > 0}
 	case s.place.Level == 0:
 		return s.rootSources(now)
 	case s.parent == "":
