--- a/internal/configuration/lag/lag.go
+++ b/internal/configuration/lag/lag.go
@@ -1,8 +1,6 @@
 package lag
 
-import (
-	"time"
-)
+import "time"
 
 // reportInterval is the time between two reports while the process is behind.
 const reportInterval = time.Second
@@ -58,12 +56,9 @@
 	if revision <= t.applied {
 		return
 	}
-	t.applied = revision
-	switch {
-	case t.announced <= revision:
+	t.applied, t.since = revision, now
+	if t.announced <= revision {
 		t.since = time.Time{}
-	default:
-		t.since = now
 	}
 	t.polls, t.fetches = calls{}, calls{}
 }
--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -207,7 +207,7 @@
 
 // Serve registers the feed's RPC methods on a server.
 func (f *Feed) Serve(r *rpc.Server, token string) {
-	rpc.Handle(r, SinceMethod, token, f.since)
+	rpc.Handle(r, SinceMethod, token, f.serveSince)
 	rpc.Handle(r, ConfigurationMethod, token, func(_ context.Context, revision uint64) (cbor.RawMessage, error) {
 		return f.encodedConfiguration(revision)
 	})
--- a/internal/control/feed/start_load_internal_test.go
+++ b/internal/control/feed/start_load_internal_test.go
@@ -37,7 +37,7 @@
 func (v slowVoter) poll(ctx context.Context, req Request) (Response, bool) {
 	done := make(chan Response, 1)
 	v.handling.Go(func() {
-		a, _ := v.feed.since(ctx, req)
+		a, _ := v.feed.serveSince(ctx, req)
 		if !a.Busy {
 			v.processor <- struct{}{}
 			time.Sleep(startCost)
--- a/internal/control/feed/starts.go
+++ b/internal/control/feed/starts.go
@@ -30,9 +30,9 @@
 	}
 }
 
-// since answers a poll that arrived by RPC. The first state of a balancer waits for one of maxStarts
+// serveSince answers a poll that arrived by RPC. The first state of a balancer waits for one of maxStarts
 // places, for as long as the poll may be held.
-func (f *Feed) since(ctx context.Context, req Request) (startingResponse, error) {
+func (f *Feed) serveSince(ctx context.Context, req Request) (startingResponse, error) {
 	if !req.AcceptsBusy || !f.needsFirstState(req) {
 		return startingResponse{Response: f.Since(ctx, req)}, nil
 	}
@@ -41,10 +41,13 @@
 	if err := f.starts.Acquire(wait, 1); err != nil {
 		return startingResponse{Response: f.busy()}, nil
 	}
-	release := sync.OnceFunc(func() { f.starts.Release(1) })
-	time.AfterFunc(startTimeout, release)
+	free := sync.OnceFunc(func() { f.starts.Release(1) })
+	timeout := time.AfterFunc(startTimeout, free)
 	resp, _, _ := f.respond(req)
-	return startingResponse{Response: resp, release: release}, nil
+	return startingResponse{Response: resp, release: func() {
+		timeout.Stop()
+		free()
+	}}, nil
 }
 
 // needsFirstState reports whether the response to a poll holds all upstreams and is sent at once.
--- a/internal/control/feed/starts_internal_test.go
+++ b/internal/control/feed/starts_internal_test.go
@@ -22,7 +22,7 @@
 	f.SetVoters([]string{"v1", "v2"})
 	var all []startingResponse
 	for range maxStarts {
-		a, err := f.since(t.Context(), firstPoll())
+		a, err := f.serveSince(t.Context(), firstPoll())
 		require.NoError(t, err)
 		require.False(t, a.Busy)
 		all = append(all, a)
@@ -37,12 +37,12 @@
 		f, all := fullFeed(t)
 		time.AfterFunc(100*time.Millisecond, all[0].Sent)
 		begun := time.Now()
-		a, err := f.since(t.Context(), firstPoll())
+		a, err := f.serveSince(t.Context(), firstPoll())
 		require.NoError(t, err)
 		require.False(t, a.Busy)
 		require.Equal(t, uint64(1), a.Life)
 		require.Equal(t, 100*time.Millisecond, time.Since(begun))
-		a, err = f.since(t.Context(), firstPoll())
+		a, err = f.serveSince(t.Context(), firstPoll())
 		require.NoError(t, err)
 		require.True(t, a.Busy, "no place in time")
 		require.Zero(t, a.Life, "the balancer must not take this response for a state")
@@ -58,12 +58,12 @@
 		time.Sleep(startTimeout)
 		synctest.Wait()
 		for range maxStarts {
-			a, err := f.since(t.Context(), firstPoll())
+			a, err := f.serveSince(t.Context(), firstPoll())
 			require.NoError(t, err)
 			require.False(t, a.Busy)
 		}
 		all[0].Sent()
-		a, err := f.since(t.Context(), firstPoll())
+		a, err := f.serveSince(t.Context(), firstPoll())
 		require.NoError(t, err)
 		require.True(t, a.Busy, "a response that is sent late does not release a second place")
 	})
@@ -80,13 +80,13 @@
 		q := firstPoll()
 		q.Hold = time.Millisecond
 		change(&q)
-		a, err := f.since(t.Context(), q)
+		a, err := f.serveSince(t.Context(), q)
 		require.NoError(t, err)
 		require.False(t, a.Busy, name)
 	}
 	canceled, cancel := context.WithCancel(t.Context())
 	cancel()
-	a, err := f.since(canceled, firstPoll())
+	a, err := f.serveSince(canceled, firstPoll())
 	require.NoError(t, err)
 	require.True(t, a.Busy, "a balancer that has gone takes no place")
 }
