--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -28,12 +28,14 @@
 	restarts := rand.New(rand.NewPCG(r.settings.Seed, 3))
 	stalls := rand.New(rand.NewPCG(r.settings.Seed, 4))
 	bursts := rand.New(rand.NewPCG(r.settings.Seed, 5))
+	powerLosses := rand.New(rand.NewPCG(r.settings.Seed, 6))
 	for end := time.Now().Add(r.settings.For); time.Now().Before(end) && ctx.Err() == nil; {
 		r.injectFault(random)
 		r.diskFault(disks)
 		r.restartUpstream(restarts)
 		r.stall(stalls)
 		r.burst(bursts)
+		r.losePower(powerLosses)
 		time.Sleep(time.Duration(random.Int64N(int64(maxFaultGap))))
 		r.checkExits()
 	}
@@ -107,6 +109,26 @@
 	}
 }
 
+// faultsPerPowerLoss is the mean number of faults of injectFault for each loss of power of all VMs.
+const faultsPerPowerLoss = 15
+
+// losePower acts in one of faultsPerPowerLoss calls: all processes end at once, right after a change was
+// accepted, and start again.
+func (r *Run) losePower(random *rand.Rand) {
+	if random.IntN(faultsPerPowerLoss) != 0 {
+		return
+	}
+	r.recordFault()
+	r.publish()
+	for _, name := range r.processNames {
+		r.processes[name].Resume()
+		r.processes[name].Kill()
+	}
+	for _, name := range r.processNames {
+		r.startProcess(r.processes[name])
+	}
+}
+
 // maxTornBytes is the maximum length of a torn record.
 const maxTornBytes = 60
 
@@ -238,7 +260,8 @@
 }
 
 // checkRecovery verifies the state after the last fault. Within recoveryTimeout, all voters must
-// answer reads (see checkRead). In the time after that, half of faultSettleTime, at least ten requests
+// answer reads (see checkRead), and within inForceTimeout after that, all balancers must apply what was
+// acknowledged. In the time after that, half of faultSettleTime, at least ten requests
 // must be answered, and at least ten for each lost request or opening. No process may have exited.
 func (r *Run) checkRecovery() {
 	end := time.Now().Add(recoveryTimeout)
@@ -249,6 +272,7 @@
 		}
 		time.Sleep(readinessInterval)
 	}
+	r.checkInForce()
 	before := r.answeredCount()
 	r.mu.Lock()
 	lost := r.unopened + r.unanswered
@@ -262,3 +286,27 @@
 	}
 	r.checkExits()
 }
+
+// inForceTimeout is the bound on configurations in the settings of the processes (ApplyMs).
+const inForceTimeout = 3 * time.Second
+
+// checkInForce verifies that each balancer applies the acknowledged configuration within inForceTimeout.
+func (r *Run) checkInForce() {
+	r.mu.Lock()
+	acknowledged := r.acknowledged
+	r.mu.Unlock()
+	end := time.Now().Add(inForceTimeout)
+	for _, b := range r.balancers {
+		for {
+			revision, err := r.settings.Platform.InForce(context.Background(), fmt.Sprintf("%s:%d", b, MetricsPort))
+			if err == nil && revision >= acknowledged {
+				break
+			}
+			if time.Now().After(end) {
+				r.reportViolation(InvariantInForce, fmt.Sprintf("%s applies %d where %d was acknowledged (%v)", b, revision, acknowledged, err))
+				break
+			}
+			time.Sleep(readinessInterval)
+		}
+	}
+}
--- a/internal/soak/run/platform.go
+++ b/internal/soak/run/platform.go
@@ -58,6 +58,8 @@
 	Read(ctx context.Context, address string) (uint64, error)
 	// Ready reports whether the balancer with an address for readiness checks is ready for traffic.
 	Ready(ctx context.Context, address string) bool
+	// InForce returns the revision that the balancer with an address for metrics applies.
+	InForce(ctx context.Context, address string) (uint64, error)
 	// Evacuate starts the evacuation of a zone if on is set, else ends the evacuation. It returns
 	// nil once the request is acknowledged.
 	Evacuate(ctx context.Context, address, zone string, on bool) error
@@ -116,6 +118,7 @@
 	InvariantResponse  = "callers get the answers to their own requests"
 	InvariantOnce      = "a request runs at most once"
 	InvariantRevert    = "what was acknowledged is never read back older"
+	InvariantInForce   = "an accepted change is in force everywhere after seconds"
 	InvariantDraining  = "a leaving upstream gets no new flow after seconds"
 	InvariantEvacuated = "an evacuated zone gets no new flow after seconds"
 	InvariantExit      = "no process ends by itself"
