--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -286,27 +286,3 @@
 	}
 	r.checkExits()
 }
-
-// inForceTimeout is the bound on configurations in the settings of the processes (ApplyMs).
-const inForceTimeout = 3 * time.Second
-
-// checkInForce verifies that each balancer applies the acknowledged configuration within inForceTimeout.
-func (r *Run) checkInForce() {
-	r.mu.Lock()
-	acknowledged := r.acknowledged
-	r.mu.Unlock()
-	end := time.Now().Add(inForceTimeout)
-	for _, b := range r.balancers {
-		for {
-			revision, err := r.settings.Platform.InForce(context.Background(), fmt.Sprintf("%s:%d", b, MetricsPort))
-			if err == nil && revision >= acknowledged {
-				break
-			}
-			if time.Now().After(end) {
-				r.reportViolation(InvariantInForce, fmt.Sprintf("%s applies %d where %d was acknowledged (%v)", b, revision, acknowledged, err))
-				break
-			}
-			time.Sleep(readinessInterval)
-		}
-	}
-}
--- a/internal/soak/run/platform.go
+++ b/internal/soak/run/platform.go
@@ -58,8 +58,6 @@
 	Read(ctx context.Context, address string) (uint64, error)
 	// Ready reports whether the balancer with an address for readiness checks is ready for traffic.
 	Ready(ctx context.Context, address string) bool
-	// InForce returns the revision that the balancer with an address for metrics applies.
-	InForce(ctx context.Context, address string) (uint64, error)
 	// Evacuate starts the evacuation of a zone if on is set, else ends the evacuation. It returns
 	// nil once the request is acknowledged.
 	Evacuate(ctx context.Context, address, zone string, on bool) error
