--- a/internal/control/feed/firststates.go
+++ b/internal/control/feed/firststates.go
@@ -8,7 +8,7 @@
 	version uint64
 	at      time.Time
 	// responses and bytes count the responses and their size as sent, busy the polls that
-	// waited in vain for one.
+	// got none in time.
 	responses, bytes, busy int
 }
 
@@ -41,7 +41,7 @@
 }
 
 // FirstStates returns how many responses with all upstreams were made since the start, their size in
-// bytes, and how many polls waited in vain for one.
+// bytes, and how many polls got none in time.
 func (f *Feed) FirstStates() (responses, bytes, busy int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/control/feed/response.go
+++ b/internal/control/feed/response.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/klauspost/compress/s2"
 	"github.com/samber/lo"
 
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/upstream/directory"
+	"wasabideal/internal/wire/rpc"
 )
 
 // Since answers a long poll: at once if there are updates, otherwise on the next update, after
@@ -82,6 +82,10 @@
 	if restored {
 		return notices
 	}
+	return withoutRestored(notices)
+}
+
+func withoutRestored(notices []directory.Notice) []directory.Notice {
 	return lo.Reject(notices, func(n directory.Notice, _ int) bool { return n.Recalled })
 }
 
@@ -154,13 +158,9 @@
 func unpack(packed [][]byte) ([]directory.Notice, error) {
 	var out []directory.Notice
 	for _, b := range packed {
-		size, err := s2.DecodedLen(b)
-		if err != nil || size > maxPackedNotices {
-			return nil, &PackedError{Size: size}
-		}
-		raw, err := s2.Decode(nil, b)
+		raw, err := rpc.Decompress(b)
 		if err != nil {
-			return nil, &PackedError{Size: size}
+			return nil, &PackedError{Cause: err}
 		}
 		var notices []directory.Notice
 		if err := cbor.Unmarshal(raw, &notices); err != nil {
@@ -171,17 +171,13 @@
 	return out, nil
 }
 
-// maxPackedNotices is the largest decompressed size in bytes of a list of notices; a million upstreams
-// fit.
-const maxPackedNotices = 64 << 20
+// PackedError reports compressed notices that are damaged or too large.
+type PackedError struct{ Cause error }
 
-// PackedError reports compressed notices that are too large or damaged. Size is the decompressed size in
-// bytes, 0 if it is unknown.
-type PackedError struct{ Size int }
+func (e *PackedError) Error() string { return fmt.Sprintf("decompress notices: %v", e.Cause) }
 
-func (e *PackedError) Error() string {
-	return fmt.Sprintf("compressed notices of %d bytes are damaged or too large; allowed: %d", e.Size, maxPackedNotices)
-}
+// Unwrap returns the underlying error.
+func (e *PackedError) Unwrap() error { return e.Cause }
 
 // respond returns the response to a poll, whether the response holds updates, and a channel that is
 // closed at the next update.
--- a/internal/control/feed/starts.go
+++ b/internal/control/feed/starts.go
@@ -53,7 +53,7 @@
 // needsFirstState reports whether the response to a poll holds all upstreams and is sent at once.
 func (f *Feed) needsFirstState(req Request) bool { return req.Encoded && req.Life != f.life }
 
-// busy returns the response to a poll that waited in vain for a place.
+// busy returns the response to a poll that got no place in time.
 func (f *Feed) busy() Response {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/control/feed/zonebodies.go
+++ b/internal/control/feed/zonebodies.go
@@ -66,7 +66,7 @@
 	}
 	selected := z.notices
 	if !restored {
-		selected = lo.Reject(selected, func(n directory.Notice, _ int) bool { return n.Recalled })
+		selected = withoutRestored(selected)
 	} else if zone != "" {
 		selected = selectForZone(selected, zone)
 	}
--- a/internal/wire/rpc/server.go
+++ b/internal/wire/rpc/server.go
@@ -47,7 +47,7 @@
 	if len(r.Packed) == 0 {
 		return r.Body, nil
 	}
-	return decompress(r.Packed)
+	return Decompress(r.Packed)
 }
 
 type response struct {
@@ -79,11 +79,11 @@
 	if len(r.Compressed) == 0 {
 		return r.Body, nil
 	}
-	return decompress(r.Compressed)
+	return Decompress(r.Compressed)
 }
 
-// decompress returns the content of a body in S2 block format.
-func decompress(b []byte) ([]byte, error) {
+// Decompress returns the content of a body in S2 block format, or an error if it is damaged or exceeds 64 MiB.
+func Decompress(b []byte) ([]byte, error) {
 	size, err := s2.DecodedLen(b)
 	if err != nil || size > maxBodySize {
 		return nil, &OversizeError{Size: size}
