--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -142,7 +142,7 @@
 	if s.Self.Address != "" {
 		f.selection = selection.New(selection.Settings{
 			Self: s.Self.Address, Shape: s.Shape, StaleAfter: s.StaleAfter, Jitter: jitter(s.Self.Address),
-		}, s.Clock())
+		})
 	}
 	return f
 }
--- a/internal/fanout/selection/fleet_test.go
+++ b/internal/fanout/selection/fleet_test.go
@@ -145,7 +145,7 @@
 	p.sources = map[string]*polledSource{}
 	p.selection = selection.New(selection.Settings{
 		Self: p.name, Shape: m.shape, StaleAfter: knownWithin / 2, Jitter: m.random.Float64(),
-	}, m.Now)
+	})
 	m.every(p, tickEvery, func() { m.tick(p) })
 	m.every(p, members.ReportInterval, func() { m.reportFollowers(p) })
 	m.AfterFunc(200*time.Millisecond, m.whileAlive(p, func() { m.reportFollowers(p) }))
--- a/internal/fanout/selection/selection.go
+++ b/internal/fanout/selection/selection.go
@@ -109,8 +109,8 @@
 }
 
 // New returns a selection that follows the voters at first.
-func New(s Settings, now time.Time) *Selection {
-	return &Selection{settings: s, voterSubsetUntil: now.Add(voterSubsetPeriod), freshVoters: map[string]int{}, avoidedUntil: map[string]time.Time{}, quorum: 1}
+func New(s Settings) *Selection {
+	return &Selection{settings: s, freshVoters: map[string]int{}, avoidedUntil: map[string]time.Time{}, quorum: 1}
 }
 
 // UpdateZone sets the RPC addresses of the zone's balancers.
--- a/internal/fanout/selection/selection_test.go
+++ b/internal/fanout/selection/selection_test.go
@@ -47,7 +47,7 @@
 func newChild(t *testing.T) (*selection.Selection, []string) {
 	all := zone(20)
 	self := firstLevelBalancer(t, all)
-	s := selection.New(selection.Settings{Self: self, Shape: shape, StaleAfter: staleAfter}, epoch.Add(-time.Minute))
+	s := selection.New(selection.Settings{Self: self, Shape: shape, StaleAfter: staleAfter})
 	s.UpdateVoters(epoch, voters, voters)
 	s.UpdateZone(epoch.Add(-time.Minute), all)
 	return s, shape.PlaceOf(self, all).Candidates
@@ -76,7 +76,7 @@
 
 func TestVotersAreFollowedDuringStartup(t *testing.T) {
 	all := zone(20)
-	s := selection.New(selection.Settings{Self: firstLevelBalancer(t, all), Shape: shape, StaleAfter: staleAfter}, epoch)
+	s := selection.New(selection.Settings{Self: firstLevelBalancer(t, all), Shape: shape, StaleAfter: staleAfter})
 	s.UpdateZone(epoch, all)
 	require.Equal(t, selection.Sources{Voters: true, VoterSubset: true, SingleVoter: true}, s.Decide(at(300*time.Millisecond)))
 	require.NotEmpty(t, s.Decide(at(time.Second)).Parents)
@@ -88,7 +88,7 @@
 // its start.
 func TestAllVotersArePolledWithoutParent(t *testing.T) {
 	all := zone(20)
-	s := selection.New(selection.Settings{Self: firstLevelBalancer(t, all), Shape: shape, StaleAfter: staleAfter}, epoch)
+	s := selection.New(selection.Settings{Self: firstLevelBalancer(t, all), Shape: shape, StaleAfter: staleAfter})
 	s.UpdateZone(epoch, all)
 	require.False(t, s.Decide(at(3*time.Second)).VoterSubset)
 }
@@ -97,7 +97,7 @@
 // list of a few balancers, each of these is at the top.
 func TestStartupCountsFromTheFirstList(t *testing.T) {
 	all := zone(20)
-	s := selection.New(selection.Settings{Self: firstLevelBalancer(t, all), Shape: shape, StaleAfter: staleAfter}, epoch)
+	s := selection.New(selection.Settings{Self: firstLevelBalancer(t, all), Shape: shape, StaleAfter: staleAfter})
 	require.True(t, s.Decide(at(2*time.Second)).SingleVoter)
 	s.UpdateZone(at(2*time.Second), []string{firstLevelBalancer(t, all)})
 	require.Equal(t, 0, s.Level())
@@ -111,7 +111,7 @@
 func TestSmallZonesFollowVotersOnly(t *testing.T) {
 	all := zone(4)
 	for _, self := range all {
-		s := selection.New(selection.Settings{Self: self, Shape: shape, StaleAfter: staleAfter}, epoch.Add(-time.Minute))
+		s := selection.New(selection.Settings{Self: self, Shape: shape, StaleAfter: staleAfter})
 		s.UpdateVoters(epoch, voters, voters)
 		s.UpdateZone(epoch.Add(-time.Minute), all)
 		require.Equal(t, selection.Sources{Voters: true}, s.Decide(epoch))
@@ -217,7 +217,7 @@
 			self = a
 		}
 	}
-	s := selection.New(selection.Settings{Self: self, Shape: shape, StaleAfter: staleAfter}, epoch.Add(-time.Minute))
+	s := selection.New(selection.Settings{Self: self, Shape: shape, StaleAfter: staleAfter})
 	s.UpdateVoters(epoch, voters, voters)
 	s.UpdateZone(epoch.Add(-time.Minute), all)
 	require.Equal(t, selection.Sources{Voters: true}, s.Decide(epoch))
@@ -263,7 +263,7 @@
 	for _, jitter := range []float64{0, 0.5, 1} {
 		all := zone(20)
 		self := firstLevelBalancer(t, all)
-		s := selection.New(selection.Settings{Self: self, Shape: shape, StaleAfter: staleAfter, Jitter: jitter}, epoch.Add(-time.Minute))
+		s := selection.New(selection.Settings{Self: self, Shape: shape, StaleAfter: staleAfter, Jitter: jitter})
 		s.UpdateVoters(epoch, 0, voters)
 		s.UpdateZone(epoch, all)
 		candidates := shape.PlaceOf(self, all).Candidates
