--- a/internal/cookie/follower/fetcher.go
+++ b/internal/cookie/follower/fetcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/configuration/lag"
@@ -113,6 +114,10 @@
 // prefers the fewest attempts, then responsive voters, then the newest revision. Voters that have not
 // been heard of may take the whole fetchTimeout to fail.
 func (f *fetcher) nextSource(current uint64) (string, bool) {
+	if !f.knowsNewer(current) {
+		// Each poll ends up here, and most announce nothing new.
+		return "", false
+	}
 	responsive := f.responsive()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -129,6 +134,13 @@
 	return best, f.attempts[best] > 1
 }
 
+// knowsNewer reports whether any source has announced a revision newer than current.
+func (f *fetcher) knowsNewer(current uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return lo.SomeBy(lo.Values(f.available), func(revision uint64) bool { return revision > current })
+}
+
 // precedes reports whether source a is to be tried before source b.
 func (f *fetcher) precedes(a, b string, responsive map[string]bool) bool {
 	switch {
--- a/internal/daemon/cookie/metrics.go
+++ b/internal/daemon/cookie/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"wasabideal/internal/cookie/follower"
 	"wasabideal/internal/cookie/router"
 	"wasabideal/internal/metric/latency"
 	"wasabideal/internal/metric/text"
@@ -89,8 +90,9 @@
 	}
 	b.setLinkMetrics(set)
 	b.mu.Unlock()
-	b.setFanoutMetrics(set)
-	b.setLagMetrics(set)
+	s := b.FollowerStatus()
+	b.setFanoutMetrics(set, s)
+	setLagMetrics(set, s)
 	if b.load != nil {
 		age, balancers := b.load.state(b.settings.Clock())
 		set("LoadAgeMilliseconds", int(age.Milliseconds()))
@@ -102,8 +104,7 @@
 }
 
 // setLagMetrics sets the gauges that tell how far the configuration in force is behind the newest announced one.
-func (b *Balancer) setLagMetrics(set func(name string, v int)) {
-	s := b.FollowerStatus()
+func setLagMetrics(set func(name string, v int), s follower.Status) {
 	set("RevisionAnnounced", int(s.Announced))
 	set("ConfigurationBehindMilliseconds", int(s.Behind.Milliseconds()))
 	set("ConfigurationFetchesFailed", s.FetchesFailed)
@@ -111,11 +112,10 @@
 
 // setFanoutMetrics sets the gauges of the tree: the balancer's level, its followers and
 // the age of its state.
-func (b *Balancer) setFanoutMetrics(set func(name string, v int)) {
+func (b *Balancer) setFanoutMetrics(set func(name string, v int), s follower.Status) {
 	if b.fanout == nil {
 		return
 	}
-	s := b.FollowerStatus()
 	set("FanoutLevel", s.Level)
 	set("FanoutFollowers", b.fanout.relay.Followers())
 	set("FanoutFollowersAll", s.Followers)
