--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -37,6 +37,8 @@
 	ZoneRefused func(zone string)
 	// Reset, if set, is called for each reset of a flow that may be open.
 	Reset func(FlowReset)
+	// CookieShared, if set, is called when a new upstream has the cookie of another one.
+	CookieShared func(SharedCookie)
 	// Opened, if set, is called with the duration of each handshake as seen by this balancer.
 	// Answered, if set, is called with the response time of each request.
 	Opened, Answered func(time.Duration)
--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -72,6 +72,14 @@
 	return c
 }
 
+// SharedCookie describes two upstreams with one cookie.
+type SharedCookie struct {
+	Cookie uint32
+	// Holder is the upstream to which packets with the cookie are forwarded, and Other the one that
+	// gets no flows.
+	Holder, Other view.Target
+}
+
 // formerInstance is an earlier instance of an upstream, with the time at which its end was
 // observed.
 type formerInstance struct {
--- a/internal/cookie/router/upstreams.go
+++ b/internal/cookie/router/upstreams.go
@@ -52,7 +52,10 @@
 		t = &target{cookie: Cookie(x.Incarnation, x.Born)}
 		// Two upstreams with the same cookie cannot be distinguished: the later one gets no
 		// flows, so that all packets with the cookie belong to the earlier one.
-		t.cookieCollision = r.cookies[t.cookie] != nil
+		if holder := r.cookies[t.cookie]; holder != nil {
+			t.cookieCollision = true
+			r.noteSharedCookie(holder, x)
+		}
 		t.service = r.service(x.Service)
 		t.load = t.service.load.zone(x.Zone)
 		r.targets[x.Incarnation] = t
@@ -68,6 +71,13 @@
 	r.updatePool(t)
 }
 
+// noteSharedCookie reports that a new upstream has the cookie of another one.
+func (r *Router) noteSharedCookie(holder *target, other view.Target) {
+	if r.settings.CookieShared != nil {
+		r.settings.CookieShared(SharedCookie{Cookie: holder.cookie, Holder: holder.Target, Other: other})
+	}
+}
+
 // endInstance records that an upstream has restarted. While flows of the old instance may be
 // open, their packets go to the new instance; see successor.
 func (r *Router) endInstance(now time.Time, t *target) {
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -180,7 +180,7 @@
 	self, err := b.setUpFollower()
 	b.router = router.New(router.Settings{
 		Zone: s.Zone, Self: self, Started: s.Clock(), Seed: xxhash.Sum64String(s.Fabric), Off: s.Off, Suspected: b.recordSuspicion,
-		ZoneRefused: b.recordZoneRefusal, Reset: b.recordFlowReset,
+		ZoneRefused: b.recordZoneRefusal, Reset: b.recordFlowReset, CookieShared: b.recordSharedCookie,
 		Opened: b.counts.opened.Record, Answered: b.counts.answered.Record,
 		MeasureAnswers: s.uneven(), ShortAnswer: func() { b.counts.answersShort.Inc(1) },
 	})
@@ -296,6 +296,12 @@
 		"Address", t.Address.String(), "Live", t.Live)
 }
 
+func (b *Balancer) recordSharedCookie(x router.SharedCookie) {
+	b.counts.cookiesShared.Inc(1)
+	b.log.Warn("two upstreams have one cookie", "Cookie", x.Cookie, "Holder", fmt.Sprintf("%x", x.Holder.Incarnation), "HolderService", x.Holder.Service,
+		"Other", fmt.Sprintf("%x", x.Other.Incarnation), "OtherService", x.Other.Service)
+}
+
 func (b *Balancer) recordZoneRefusal(zone string) {
 	b.counts.zonesRefused.Inc(1)
 	b.log.Warn("all upstreams of a zone refuse new flows; placing them in other zones", "Zone", zone)
--- a/internal/daemon/cookie/metrics.go
+++ b/internal/daemon/cookie/metrics.go
@@ -20,6 +20,7 @@
 	sendErrors       metrics.Counter
 	suspicions       metrics.Counter
 	zonesRefused     metrics.Counter
+	cookiesShared    metrics.Counter
 	unresponsive     metrics.Counter
 	reportedEvents   metrics.Counter
 	rejectedUse      metrics.Counter
@@ -39,6 +40,7 @@
 		sendErrors:     metrics.NewRegisteredCounter("SendErrorsTotal", r),
 		suspicions:     metrics.NewRegisteredCounter("SuspicionsTotal", r),
 		zonesRefused:   metrics.NewRegisteredCounter("ZonesRefusedTotal", r),
+		cookiesShared:  metrics.NewRegisteredCounter("CookiesSharedTotal", r),
 		unresponsive:   metrics.NewRegisteredCounter("UnresponsiveTotal", r),
 		reportedEvents: metrics.NewRegisteredCounter("SilenceReportedTotal", r),
 		rejectedUse:    metrics.NewCounter(),
