--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"wasabideal/internal/configuration/history"
+	"wasabideal/internal/cookie/claims"
 	"wasabideal/internal/fanout/member"
 	"wasabideal/internal/fanout/members"
 	"wasabideal/internal/fanout/pacing"
@@ -22,6 +23,7 @@
 	"wasabideal/internal/silence/uneven"
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/upstream/handover"
+	"wasabideal/internal/upstream/recent"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -95,6 +97,10 @@
 	// and Response.Elsewhere. Balancers of earlier versions set neither.
 	AcceptsBusy   bool `cbor:",omitempty"`
 	AcceptsPacked bool `cbor:",omitempty"`
+	// Claims is the ClaimsDigest that the balancer received last.
+	Claims uint64 `cbor:",omitempty"`
+	// Starting requests Response.Recent.
+	Starting bool `cbor:",omitempty"`
 }
 
 // Response holds the updates after the state given in a Request.
@@ -139,6 +145,12 @@
 	// Busy reports that too many balancers are starting. Of the other fields, only Members and Zone are
 	// set then; the balancer polls again or elsewhere.
 	Busy bool `cbor:",omitempty"`
+	// Claims holds all claims on shared cookies that the voter knows, if ClaimsDigest, which identifies
+	// them, differs from that in the request.
+	Claims       []claims.Claim `cbor:",omitempty"`
+	ClaimsDigest uint64         `cbor:",omitempty"`
+	// Recent lists the upstreams that this voter has known for a short time only.
+	Recent *recent.Set `cbor:",omitempty"`
 }
 
 // Feed holds the state that one voter serves to balancers. It is safe for concurrent use.
@@ -149,6 +161,8 @@
 	history history.History
 	// evacuations are the evacuation orders in effect.
 	evacuations evacuation.Evacuations
+	// claims are the claims on shared cookies.
+	claims claims.Set
 	// services holds the names of the configured services, nil while no configuration is known.
 	services  map[string]bool
 	directory *directory.Directory
@@ -211,6 +225,7 @@
 	rpc.Handle(r, ConfigurationMethod, token, func(_ context.Context, revision uint64) (cbor.RawMessage, error) {
 		return f.encodedConfiguration(revision)
 	})
+	f.serveClaims(r, token)
 	f.serveReports(r, token)
 	f.serveFleet(r, token)
 }
--- a/internal/control/feed/feed_test.go
+++ b/internal/control/feed/feed_test.go
@@ -11,6 +11,7 @@
 
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/control/feed"
+	"wasabideal/internal/cookie/claims"
 	"wasabideal/internal/fanout/member"
 	"wasabideal/internal/fanout/members"
 	"wasabideal/internal/model/configuration"
@@ -224,6 +225,8 @@
 	return out
 }
 
+func (remoteSource) Recent(time.Time, time.Duration) []uint64 { return nil }
+
 func (r remoteSource) Address(time.Time, uint64, uint64) (netip.AddrPort, bool) {
 	return netip.AddrPort{}, false
 }
@@ -271,3 +274,36 @@
 	require.NoError(t, err)
 	require.False(t, a.Notices[len(a.Notices)-1].Recalled)
 }
+
+// A starting balancer must not take an upstream that has just started for one that all balancers know.
+func TestStartingBalancerLearnsWhichUpstreamsAreRecent(t *testing.T) {
+	now := epoch
+	f := feed.New(1, directory.New(directory.Settings{SilentAfter: time.Minute, ForgetAfter: time.Hour}), func() time.Time { return now })
+	f.Announce(now, announced(1), 0)
+	f.MarkEstablished()
+	f.Announce(now, announced(2), 0)
+	now = now.Add(time.Minute)
+	f.Announce(now, announced(3), 0)
+	req := startingRequest("a")
+	require.Nil(t, f.Since(t.Context(), req).Recent)
+	req.Starting = true
+	require.Equal(t, []uint64{3}, f.Since(t.Context(), req).Recent.Incarnations)
+	for n := range uint64(600) {
+		f.Announce(now, announced(100+n), 0)
+	}
+	require.True(t, f.Since(t.Context(), req).Recent.All)
+	now = now.Add(time.Minute)
+	require.Nil(t, f.Since(t.Context(), req).Recent)
+}
+
+func TestClaimsAreSentOnce(t *testing.T) {
+	f := newFeed()
+	first := f.Since(t.Context(), feed.Request{})
+	require.Zero(t, first.ClaimsDigest)
+	f.MergeClaims([]claims.Claim{{Cookie: 5, Incarnation: 1}})
+	second := f.Since(t.Context(), feed.Request{Life: first.Life, Version: first.Version, Hold: time.Hour})
+	require.Len(t, second.Claims, 1)
+	third := f.Since(t.Context(), feed.Request{Life: first.Life, Version: first.Version, Claims: second.ClaimsDigest})
+	require.Empty(t, third.Claims)
+	require.Equal(t, second.ClaimsDigest, third.ClaimsDigest)
+}
--- a/internal/control/feed/remote.go
+++ b/internal/control/feed/remote.go
@@ -17,6 +17,8 @@
 type RemoteSource interface {
 	// Live returns the live upstreams of the other voters.
 	Live(now time.Time) []directory.Notice
+	// Recent returns the upstreams of the other voters that became known within a duration.
+	Recent(now time.Time, within time.Duration) []uint64
 	// Address returns the address of an upstream, if another voter knows it.
 	Address(now time.Time, incarnation, born uint64) (netip.AddrPort, bool)
 }
--- a/internal/control/feed/response.go
+++ b/internal/control/feed/response.go
@@ -197,7 +197,7 @@
 		resp.Doubts = f.confirmedSuspicions(now)
 	}
 	f.attachFleet(now, req, &resp)
-	otherVerdicts := f.attachUneven(req, &resp)
+	otherVerdicts, otherClaims := f.attachUneven(req, &resp), f.attachClaims(req, &resp)
 	if req.From != "" {
 		f.lastPoll[req.From] = lastPoll{at: now, relayHops: req.Passing}
 	}
@@ -211,8 +211,11 @@
 	if !f.attachEncodedNotices(now, req, version, &resp) {
 		resp.Notices = f.noticesSince(now, version, req.Recalled)
 	}
+	if req.Starting {
+		f.attachRecent(now, &resp)
+	}
 	// Batched changes of upstreams do not complete the poll yet, but are sent with other updates.
-	hasUpdates := req.Life != f.life || resp.Revision > req.Revision || resp.Evacuations != nil || resp.Version > version && !f.pending ||
+	hasUpdates := req.Life != f.life || resp.Revision > req.Revision || resp.Evacuations != nil || otherClaims || resp.Version > version && !f.pending ||
 		(resp.DoubtsVersion != req.Doubts || otherVerdicts) && !f.suspicionsPacer.Pending()
 	return resp, hasUpdates, f.changed
 }
--- /dev/null
+++ b/internal/cookie/allocation/allocation_test.go
@@ -0,0 +1,123 @@
+package allocation_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wasabideal/internal/cookie/allocation"
+	"wasabideal/internal/cookie/claims"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// cookies hashes an incarnation to its decimal digits: 123 has the cookies 3, 2 and 1.
+func cookies(incarnation, _ uint64, choice int) uint32 {
+	for range choice {
+		incarnation /= 10
+	}
+	return uint32(incarnation % 10)
+}
+
+func add(a *allocation.Allocation[string], at time.Time, incarnation uint64, established bool) *allocation.Holder[string] {
+	since := at.Add(allocation.SettlingPerLevel)
+	if established {
+		since = time.Time{}
+	}
+	i := allocation.Instance{Incarnation: incarnation}
+	if h := a.Restore(i); h != nil {
+		return h
+	}
+	h := &allocation.Holder[string]{}
+	a.Add(at, h, i, "upstream", since)
+	return h
+}
+
+func TestCookiesOfNewFlows(t *testing.T) {
+	for name, c := range map[string]struct {
+		// established are added first, fresh after them; claimed upstreams have a claim on their first cookie.
+		established, fresh, claimed []uint64
+		// active are the cookies for new flows, 0 for none.
+		active map[uint64]uint32
+	}{
+		"no shared cookie":                      {established: []uint64{321, 654}, active: map[uint64]uint32{321: 1, 654: 4}},
+		"the established upstream keeps it":     {established: []uint64{321}, fresh: []uint64{541}, active: map[uint64]uint32{321: 1, 541: 4}},
+		"neither of two established ones":       {established: []uint64{321, 541}, active: map[uint64]uint32{321: 2, 541: 4}},
+		"neither of two new ones":               {fresh: []uint64{321, 541}, active: map[uint64]uint32{321: 2, 541: 4}},
+		"the one with the claim":                {established: []uint64{321, 541}, claimed: []uint64{541}, active: map[uint64]uint32{321: 2, 541: 1}},
+		"claims of both":                        {established: []uint64{321, 541}, claimed: []uint64{321, 541}, active: map[uint64]uint32{321: 2, 541: 4}},
+		"a claim of an unknown upstream":        {established: []uint64{321}, claimed: []uint64{541}, active: map[uint64]uint32{321: 2}},
+		"a further cookie of another upstream":  {established: []uint64{321}, fresh: []uint64{213}, active: map[uint64]uint32{321: 1, 213: 0}},
+		"all cookies are those of other ones":   {established: []uint64{987, 654}, fresh: []uint64{879}, active: map[uint64]uint32{987: 7, 654: 4, 879: 0}},
+		"two equal cookies of one upstream":     {established: []uint64{311}, fresh: []uint64{451}, active: map[uint64]uint32{311: 1, 451: 5}},
+		"three upstreams with the same cookies": {established: []uint64{321}, fresh: []uint64{541, 761}, active: map[uint64]uint32{321: 1, 541: 4, 761: 6}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := allocation.New[string](cookies)
+			holders := map[uint64]*allocation.Holder[string]{}
+			for _, id := range c.established {
+				holders[id] = add(a, now, id, true)
+			}
+			for _, id := range c.fresh {
+				holders[id] = add(a, now, id, false)
+			}
+			for _, id := range c.claimed {
+				a.Merge(claims.Set{}.With(claims.Claim{Cookie: cookies(id, 0, 0), Incarnation: id}))
+			}
+			for id, active := range c.active {
+				require.Equal(t, active, holders[id].Active(), id)
+				if active != 0 {
+					require.Same(t, holders[id], a.Lookup(active))
+				}
+			}
+		})
+	}
+}
+
+// An upstream that is forgotten and becomes known again within the lifetime of its flows, for instance after
+// a cut, keeps its cookies and stays established.
+func TestForgottenUpstreamReturns(t *testing.T) {
+	a := allocation.New[string](cookies)
+	h := add(a, now, 321, true)
+	a.Retire(now, h)
+	later := now.Add(time.Minute)
+	require.Same(t, h, add(a, later, 321, false))
+	require.True(t, h.Established(later))
+	a.Expire(now.Add(time.Hour))
+	require.Same(t, h, a.Lookup(1))
+}
+
+// The cookies of an upstream that was forgotten are free after the lifetime of its flows, unless claimed.
+func TestCookiesOfForgottenUpstreamExpire(t *testing.T) {
+	for _, used := range []bool{false, true} {
+		a := allocation.New[string](cookies)
+		h := add(a, now, 321, false)
+		if used {
+			h.Use(1)
+		}
+		a.Retire(now, h)
+		other := add(a, now, 541, false)
+		require.Equal(t, uint32(4), other.Active())
+		a.Expire(now.Add(80 * time.Second))
+		require.Equal(t, uint32(4), other.Active())
+		a.Expire(now.Add(100 * time.Second))
+		require.Equal(t, used, other.Active() == 4)
+		require.Equal(t, used, a.Claims().Len() == 1)
+	}
+}
+
+func TestChangesAreReportedOnce(t *testing.T) {
+	a := allocation.New[string](cookies)
+	first := add(a, now, 321, true)
+	reactivated, resolved := a.TakeChanges()
+	require.Equal(t, []*allocation.Holder[string]{first}, reactivated)
+	require.Empty(t, resolved)
+	second := add(a, now, 541, true)
+	reactivated, resolved = a.TakeChanges()
+	require.Subset(t, reactivated, []*allocation.Holder[string]{first, second})
+	require.Equal(t, []uint32{1}, resolved)
+	reactivated, resolved = a.TakeChanges()
+	require.Empty(t, reactivated)
+	require.Empty(t, resolved)
+}
--- /dev/null
+++ b/internal/cookie/claims/doc.go
@@ -0,0 +1,3 @@
+// Package claims holds which instances of upstreams may have open flows with a cookie that several
+// upstreams share. Balancers and voters exchange these sets and merge them.
+package claims
--- a/internal/cookie/follower/follower.go
+++ b/internal/cookie/follower/follower.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/lo"
 
+	"wasabideal/internal/cookie/claims"
 	"wasabideal/internal/fanout/bootstrap"
 	"wasabideal/internal/fanout/member"
 	"wasabideal/internal/fanout/members"
@@ -25,6 +26,7 @@
 	"wasabideal/internal/silence/evidence"
 	"wasabideal/internal/silence/verdicts"
 	"wasabideal/internal/upstream/owner"
+	"wasabideal/internal/upstream/recent"
 	"wasabideal/internal/wire/pool"
 	"wasabideal/internal/wire/rpc"
 )
@@ -66,6 +68,13 @@
 	// evacuated zone.
 	Evacuations() evacuation.Evacuations
 	OnEvacuations(address string, e evacuation.Evacuations)
+	// Claims returns the known claims on shared cookies. OnClaims receives those that the voter or
+	// balancer at an address sent, also before the rest of a response is applied.
+	Claims() claims.Set
+	OnClaims(address string, all []claims.Claim)
+	// OnRecent receives the upstreams that a source has known for less than allocation.MaxSettling, before
+	// the state that the source sent with them.
+	OnRecent(all recent.Set)
 }
 
 // Settings configures a follower.
@@ -96,6 +105,7 @@
 	applying sync.Mutex
 	mu       sync.Mutex
 	ctx      context.Context
+	started  time.Time
 	// polled holds the polled sources by address.
 	polled map[string]*source
 	// voterSeen maps each known voter to the time when any source last listed it; seeds are the
@@ -126,7 +136,9 @@
 	responsive bool
 	// balancers is the number of balancers, over all zones, that the source has reported.
 	balancers int
-	reporter  *reporter
+	// claims is the digest of the claims that the source has, as of its last response.
+	claims   uint64
+	reporter *reporter
 }
 
 // New returns a follower; Start starts it.
@@ -149,7 +161,7 @@
 
 // Start starts polling and runs until ctx is done.
 func (f *Follower) Start(ctx context.Context, voters []string) {
-	f.ctx = ctx
+	f.ctx, f.started = ctx, f.settings.Clock()
 	f.running.Add(2)
 	go func() {
 		defer f.running.Done()
@@ -204,6 +216,7 @@
 		}
 		f.reconcile(now)
 		f.mu.Unlock()
+		f.sendClaims(now)
 		f.logLag(now)
 	}
 }
--- a/internal/cookie/follower/follower_test.go
+++ b/internal/cookie/follower/follower_test.go
@@ -14,6 +14,7 @@
 
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/control/feed"
+	"wasabideal/internal/cookie/claims"
 	"wasabideal/internal/cookie/follower"
 	"wasabideal/internal/fanout/member"
 	"wasabideal/internal/fanout/members"
@@ -24,6 +25,7 @@
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/standin/rpctest"
 	"wasabideal/internal/upstream/directory"
+	"wasabideal/internal/upstream/recent"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -96,6 +98,7 @@
 	// hasUpstreams is set by the first notice if tracksUpstreams is set.
 	hasUpstreams, tracksUpstreams bool
 	evacuations                   evacuation.Evacuations
+	claims                        claims.Set
 }
 
 func (h *handler) Evacuations() evacuation.Evacuations {
@@ -104,6 +107,20 @@
 	return h.evacuations
 }
 
+func (h *handler) Claims() claims.Set {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.claims
+}
+
+func (h *handler) OnClaims(_ string, all []claims.Claim) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.claims = h.claims.With(all...)
+}
+
+func (h *handler) OnRecent(recent.Set) {}
+
 func (h *handler) OnEvacuations(_ string, e evacuation.Evacuations) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/cookie/follower/parent.go
+++ b/internal/cookie/follower/parent.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/samber/lo"
+
 	"wasabideal/internal/fanout/membership"
 	"wasabideal/internal/fanout/relay"
 	"wasabideal/internal/wire/rpc"
@@ -76,12 +78,14 @@
 		f.handler.OnEvacuations(address, *a.Evacuations)
 		updated = true
 	}
+	f.applyClaims(address, a.Claims, a.ClaimsDigest)
+	updated = updated || len(a.Claims) > 0
 	for _, x := range a.Origins {
 		x.Age += roundTrip
 		if x.Age <= f.settings.StaleAfter {
 			fresh++
 		}
-		if f.applyVoterState(now, x) {
+		if f.applyVoterState(now, lo.FromPtr(a.Recent), x) {
 			updated = true
 		}
 	}
@@ -109,8 +113,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	q := relay.Request{
-		Evacuations: evacuations,
-		From:        f.settings.Self.Address, Hold: parentHold, Revision: f.fetcher.revision(address),
+		Evacuations: evacuations, Claims: f.claimsOf(address), Starting: f.starting(),
+		From: f.settings.Self.Address, Hold: parentHold, Revision: f.fetcher.revision(address),
 		Fleet: f.membership.List(address).Version, Known: f.origins.VoterVersions(f.settings.Clock()),
 	}
 	if f.settings.Uneven {
--- a/internal/cookie/follower/reporter.go
+++ b/internal/cookie/follower/reporter.go
@@ -10,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"wasabideal/internal/control/feed"
+	"wasabideal/internal/cookie/claims"
 	"wasabideal/internal/fanout/members"
 	"wasabideal/internal/silence/evidence"
 	"wasabideal/internal/wire/rpc"
@@ -53,6 +54,9 @@
 	pending        []pendingEvent
 	// pendingAnswers holds reports with counts of answers, in the order of arrival.
 	pendingAnswers []evidence.Report
+	// pendingClaims are the claims to send, and claimsEnqueued is when claims were last added.
+	pendingClaims  claims.Set
+	claimsEnqueued time.Time
 	wake           chan struct{}
 }
 
@@ -107,6 +111,7 @@
 			continue
 		case <-r.wake:
 		}
+		r.sendClaims(ctx, client)
 		r.sendReports(ctx, client)
 		select {
 		case <-ctx.Done():
--- a/internal/cookie/follower/voters.go
+++ b/internal/cookie/follower/voters.go
@@ -13,6 +13,7 @@
 	"wasabideal/internal/fanout/origins"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/silence/verdicts"
+	"wasabideal/internal/upstream/recent"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -138,7 +139,7 @@
 		Hold: voterHold, Recalled: !hasUpstreams, From: f.settings.From, Encoded: true,
 		Unconfigured: current.Revision == 0 && len(f.reportTargets()) == 0,
 		Life:         known.Life, Version: known.Version, Doubts: known.Doubts, Revision: f.fetcher.revision(address),
-		Evacuations: evacuations, AcceptsBusy: f.selection != nil, AcceptsPacked: true,
+		Evacuations: evacuations, Claims: f.claimsOf(address), Starting: f.starting(), AcceptsBusy: f.selection != nil, AcceptsPacked: true,
 	}
 	if known.Life == 0 && len(f.voterSeen) <= len(f.seeds) {
 		q.Hold = firstHold
@@ -177,10 +178,11 @@
 	if a.Evacuations != nil {
 		f.handler.OnEvacuations(address, *a.Evacuations)
 	}
+	f.applyClaims(address, a.Claims, a.ClaimsDigest)
 	if len(a.Configuration) > 0 {
 		f.applyInlineConfiguration(address, current, a.Configuration)
 	}
-	f.applyVoterState(f.settings.Clock(), origins.Update{
+	f.applyVoterState(f.settings.Clock(), lo.FromPtr(a.Recent), origins.Update{
 		VoterVersion: origins.VoterVersion{Voter: address, Life: a.Life, Version: a.Version, Doubts: a.DoubtsVersion},
 		Notices:      a.Notices, Subjects: a.Doubts, Doubted: a.Life != q.Life || a.DoubtsVersion != q.Doubts, Zone: a.Zone,
 	})
@@ -225,8 +227,8 @@
 }
 
 // applyVoterState applies a voter's state, in the order of its versions, and reports whether it was
-// new.
-func (f *Follower) applyVoterState(now time.Time, x origins.Update) bool {
+// new. The source has known the young upstreams for a short time only.
+func (f *Follower) applyVoterState(now time.Time, young recent.Set, x origins.Update) bool {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
@@ -236,6 +238,7 @@
 	if !accepted {
 		return false
 	}
+	f.handler.OnRecent(young)
 	f.handler.OnVoterState(now, x)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/cookie/router/choose.go
+++ b/internal/cookie/router/choose.go
@@ -192,7 +192,7 @@
 		return true
 	}
 	if !p.Opening {
-		t := r.cookies[p.Cookie]
+		t, _ := r.upstreamOf(now, p)
 		return t == nil || p.Length == 0 || t.openings+t.requests < bufferedPendingMax
 	}
 	configured, ok := r.routes[p.Address]
--- a/internal/cookie/router/detection.go
+++ b/internal/cookie/router/detection.go
@@ -283,7 +283,7 @@
 	var out []Packet
 	for k, f := range r.flows {
 		if f.target.unresponsive() && r.mayReset(k.Address, f) {
-			out = append(out, Packet{Caller: k.Caller, Address: k.Address, Cookie: f.target.cookie, Acknowledged: f.acknowledged})
+			out = append(out, Packet{Caller: k.Caller, Address: k.Address, Cookie: f.cookie, Acknowledged: f.acknowledged})
 			r.resetFlow(k, f, f.target, Unresponsive)
 		}
 	}
--- a/internal/cookie/router/doc.go
+++ b/internal/cookie/router/doc.go
@@ -1,5 +1,6 @@
 // Package router selects the upstream of a packet by a cookie, which both ends of a flow echo in
-// each packet. Any balancer can therefore forward any packet without per-flow state. The router
+// each packet. Any balancer can therefore forward any packet without per-flow state, unless several
+// upstreams have the cookie (see package allocation). The router
 // sees only callers' packets, since upstreams answer callers directly: a caller's acknowledgment
 // shows that its upstream answered.
 //
--- a/internal/cookie/router/flow.go
+++ b/internal/cookie/router/flow.go
@@ -48,6 +48,8 @@
 	// retransmitted is set if the pending opening or request was sent again; reported is set if
 	// it was reported to the voters as unanswered.
 	retransmitted, reported bool
+	// cookie is the cookie of the flow's packets.
+	cookie uint32
 	// inFlightAtSend is the service's effectiveInFlight when the request was sent.
 	inFlightAtSend int
 	// nextSequence is the end of the data that the caller has sent; acknowledged is the end of
@@ -62,10 +64,11 @@
 }
 
 func (r *Router) openFlow(now time.Time, k Flow, t *target, class configuration.Class) {
+	t.cookies.Use(t.cookies.Active())
 	if len(r.flows) >= maxFlows {
 		return
 	}
-	f := r.addFlow(k, flow{target: t, lastPacket: now, opened: now, sent: now, opening: true, upload: class == configuration.Upload})
+	f := r.addFlow(k, flow{target: t, cookie: t.cookies.Active(), lastPacket: now, opened: now, sent: now, opening: true, upload: class == configuration.Upload})
 	f.addPending(1, 0)
 	t.noteSent()
 	t.zone.refusals.noteNewFlow(now)
@@ -118,12 +121,13 @@
 		if f != nil {
 			r.removeFlow(k, f)
 		}
+		t.cookies.Use(p.Cookie)
 		if len(r.flows) >= maxFlows {
 			return false, false
 		}
-		f = r.addFlow(k, flow{target: t, nextSequence: p.Sequence, acknowledged: p.Acknowledged, upload: r.Class(p.Address) == configuration.Upload})
+		f = r.addFlow(k, flow{target: t, cookie: p.Cookie, nextSequence: p.Sequence, acknowledged: p.Acknowledged, upload: r.Class(p.Address) == configuration.Upload})
 	}
-	f.lastPacket = now
+	f.lastPacket, f.cookie = now, p.Cookie
 	if f.opening {
 		f.opening = false
 		f.addPending(-1, 0)
@@ -155,6 +159,7 @@
 			r.endAnswer(now, f, now.Sub(f.sent)-f.answerDuration() < answerQuiet)
 		}
 		t.load.occupied.Advance(now)
+		r.noteFinished(now, k, t)
 		r.removeFlow(k, f)
 	}
 	return openedHere, retransmitted
@@ -248,7 +253,9 @@
 		return
 	}
 	r.lastSweep = now
-	r.expireFormerInstances(now)
+	r.cookies.Expire(now)
+	r.expireFinished(now)
+	r.applyCookieChanges()
 	for k, f := range r.flows {
 		switch {
 		case f.opening && now.Sub(f.sent) > openingTTL, now.Sub(f.lastPacket) > flowTTL:
--- a/internal/cookie/router/packet.go
+++ b/internal/cookie/router/packet.go
@@ -99,18 +99,24 @@
 	// Cold means that all upstreams of the service that could get the flow are cold, and that
 	// each is at its cold rate limit or assigned to another balancer.
 	Cold
+	// AmbiguousCookie means that several upstreams have the cookie, that it is not known which of them it
+	// stands for, and that the packet's flow is not stored.
+	AmbiguousCookie
+	// NewUpstream means that the cookie's upstream is not established yet, and that the packet's flow is
+	// not stored.
+	NewUpstream
 	// Stray means that the packet neither belongs to a flow nor opens one.
 	Stray
 )
 
 var reasonNames = [...]string{
-	"Known", "Placed", "Repeated", "Unconfigured", "NoRoute", "NoUpstream", "UnknownCookie", "Ended", "Busy", "Waiting", "Overloaded", "Unresponsive", "Evacuated", "Cold", "Stray",
+	"Known", "Placed", "Repeated", "Unconfigured", "NoRoute", "NoUpstream", "UnknownCookie", "Ended", "Busy", "Waiting", "Overloaded", "Unresponsive", "Evacuated", "Cold", "AmbiguousCookie", "NewUpstream", "Stray",
 }
 
 // Temporary reports whether a packet that is dropped, and not reset, for this reason may be placed
 // soon, once more state is known.
 func (r Reason) Temporary() bool {
-	return r == Unconfigured || r == UnknownCookie || r == NoUpstream || r == Cold
+	return r == Unconfigured || r == UnknownCookie || r == NoUpstream || r == Cold || r == AmbiguousCookie || r == NewUpstream
 }
 
 // String returns the reason's name as used in logs.
--- a/internal/cookie/router/place.go
+++ b/internal/cookie/router/place.go
@@ -36,7 +36,7 @@
 			r.noteRetransmission(now, p.Address, f)
 		}
 		if !f.target.Ended {
-			return r.forwardVerdict(f.target, Repeated)
+			return r.forwardVerdict(f.target, f.cookie, Repeated)
 		}
 		r.removeFlow(k, f)
 	}
@@ -78,7 +78,7 @@
 	t.takeColdToken(now)
 	t.service.load.noteAdmitted()
 	r.openFlow(now, k, t, configured.Class)
-	v := r.forwardVerdict(t, Placed)
+	v := r.forwardVerdict(t, t.cookies.Active(), Placed)
 	if spilled {
 		r.explainSpill(now, &v, t)
 	}
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
+	"wasabideal/internal/cookie/allocation"
 	"wasabideal/internal/cookie/mechanism"
 	"wasabideal/internal/fanout/assignment"
 	"wasabideal/internal/metric/minimum"
@@ -37,7 +39,7 @@
 	ZoneRefused func(zone string)
 	// Reset, if set, is called for each reset of a flow that may be open.
 	Reset func(FlowReset)
-	// CookieShared, if set, is called when a new upstream has the cookie of another one.
+	// CookieShared, if set, is called for each shared cookie whose upstreams or claims have changed.
 	CookieShared func(SharedCookie)
 	// Opened, if set, is called with the duration of each handshake as seen by this balancer.
 	// Answered, if set, is called with the response time of each request.
@@ -55,17 +57,22 @@
 	// targets holds the upstreams by incarnation. cookies holds them by cookie, and also holds
 	// former instances.
 	targets map[uint64]*target
-	cookies map[uint32]*target
+	cookies *allocation.Allocation[*target]
 	// pools holds the ready upstreams of each service.
 	pools map[string]*pool
 	flows map[Flow]*flow
+	// finished holds the finished flows of upstreams whose cookies alone do not identify them.
+	finished map[Flow]finishedFlow
 	// freeFlows is the free list of flow entries.
 	freeFlows []*flow
 	zones     map[string]*zone
 	services  map[string]*service
 	lastSweep time.Time
-	// formerInstances are the earlier instances of upstreams that restarted.
-	formerInstances []formerInstance
+	// recent reports whether the source of the next update has known an upstream for a short time only;
+	// nil stands for no upstream.
+	recent func(incarnation uint64) bool
+	// settling is how long an upstream that becomes known is not established.
+	settling time.Duration
 	// targetsKnownAt is when the router first received upstreams.
 	targetsKnownAt time.Time
 	losses         losses
@@ -136,7 +143,7 @@
 func New(s Settings) *Router {
 	return &Router{
 		settings: s, assignment: assignment.New(s.Started, s.Self), reportBudget: reportBurst, rotation: int(s.Seed % initialRotations), routes: map[netip.AddrPort]route{}, targets: map[uint64]*target{},
-		cookies: map[uint32]*target{}, pools: map[string]*pool{}, flows: map[Flow]*flow{},
+		cookies: allocation.New[*target](cookieOf), finished: map[Flow]finishedFlow{}, settling: allocation.SettlingPerLevel, pools: map[string]*pool{}, flows: map[Flow]*flow{},
 		zones: map[string]*zone{}, services: map[string]*service{},
 		recentHandshakes: minimum.New(recentHandshakeWindow), handshakes: minimum.New(handshakeWindow),
 	}
@@ -185,9 +192,9 @@
 	if p.Cookie == 0 {
 		return Verdict{Action: Drop, Reason: Stray}
 	}
-	t := r.cookies[p.Cookie]
+	t, reason := r.upstreamOf(now, p)
 	if t == nil {
-		return Verdict{Action: Drop, Reason: UnknownCookie}
+		return Verdict{Action: Drop, Reason: reason}
 	}
 	if next := r.successor(t); next != nil {
 		t = next
@@ -201,7 +208,7 @@
 	if p.Length > 0 && t.unresponsive() && r.Class(p.Address).Repeatable() {
 		return r.resetFlow(p.Flow(), r.flows[p.Flow()], t, Unresponsive)
 	}
-	v := r.forwardVerdict(t, Known)
+	v := r.forwardVerdict(t, cmp.Or(t.cookies.Active(), p.Cookie), Known)
 	v.OpenedHere, v.Retransmitted = r.noteEstablished(now, p.Flow(), t, p)
 	return v
 }
@@ -211,9 +218,9 @@
 	return Verdict{Action: Reset, Reason: reason, Incarnation: t.Incarnation, Revision: r.revision, Sequence: t.Sequence}
 }
 
-func (r *Router) forwardVerdict(t *target, reason Reason) Verdict {
+func (r *Router) forwardVerdict(t *target, cookie uint32, reason Reason) Verdict {
 	return Verdict{
-		Action: Forward, Reason: reason, To: t.Address, Incarnation: t.Incarnation, Cookie: t.cookie, Revision: r.revision,
+		Action: Forward, Reason: reason, To: t.Address, Incarnation: t.Incarnation, Cookie: cookie, Revision: r.revision,
 		Sequence: t.Sequence, Live: t.Live,
 	}
 }
--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -1,8 +1,12 @@
 package router
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"wasabideal/internal/cookie/allocation"
 	"wasabideal/internal/model/upstream"
 	"wasabideal/internal/overload/response"
 	"wasabideal/internal/overload/slowstart"
@@ -18,18 +22,15 @@
 	// answerTimeout is the age from which a missing answer counts as evidence: twice the
 	// round trip to the farthest zone, plus the processing of a heavy request.
 	answerTimeout = 180 * time.Millisecond
-	// formerInstanceTTL is how long the cookie of an upstream's earlier instance is kept:
-	// longer than any flow may stay open.
-	formerInstanceTTL = 90 * time.Second
 )
 
 // target is an upstream with the state derived from its packets.
 type target struct {
+	// cookies holds the upstream's cookies.
+	cookies allocation.Holder[*target]
 	view.Target
-	cookie uint32
-	// cookieCollision is set if another upstream has the same cookie; the upstream then
-	// gets no new flows.
-	cookieCollision bool
+	// forgotten is set once the upstream is no longer known. Its cookies are kept for some time.
+	forgotten bool
 	// halvings is how often the voters halved the upstream's weight.
 	halvings uint8
 	// openings counts the flows that await the completion of the handshake; requests counts the
@@ -61,30 +62,24 @@
 	position position
 }
 
-// Cookie folds an incarnation and its start time (born) into the cookie that both ends of a flow
-// echo. The cookie is never 0, since 0 stands for no cookie. A restarted upstream has a different
-// cookie, so that flows of its earlier instance can be distinguished.
+// Cookie returns the first cookie of an upstream: a hash of its incarnation and start time (born). Cookies
+// are never 0, since 0 stands for no cookie. A restarted upstream has different cookies, so that flows of
+// its earlier instance can be distinguished.
 func Cookie(incarnation, born uint64) uint32 {
-	c := uint32(incarnation) ^ uint32(incarnation>>32)*0x9e3779b1 ^ uint32(born)*0x85ebca6b ^ uint32(born>>32)*0xc2b2ae35
-	if c == 0 {
-		return 1
-	}
-	return c
+	return max(uint32(incarnation)^uint32(incarnation>>32)*0x9e3779b1^uint32(born)*0x85ebca6b^uint32(born>>32)*0xc2b2ae35, 1)
 }
 
-// SharedCookie describes two upstreams with one cookie.
-type SharedCookie struct {
-	Cookie uint32
-	// Holder is the upstream to which packets with the cookie are forwarded, and Other the one that
-	// gets no flows.
-	Holder, Other view.Target
-}
-
-// formerInstance is an earlier instance of an upstream, with the time at which its end was
-// observed.
-type formerInstance struct {
-	target *target
-	since  time.Time
+// cookieOf returns one of an upstream's cookies. The further ones are other hashes: upstreams that share the
+// first one differ in them.
+func cookieOf(incarnation, born uint64, choice int) uint32 {
+	if choice == 0 {
+		return Cookie(incarnation, born)
+	}
+	var b [17]byte
+	binary.LittleEndian.PutUint64(b[:], incarnation)
+	binary.LittleEndian.PutUint64(b[8:], born)
+	b[16] = byte(choice)
+	return max(uint32(xxhash.Sum64(b[:])), 1)
 }
 
 // localSuspicion is the suspicion of an upstream that this balancer derives from missing
@@ -119,5 +114,5 @@
 
 // acceptsFlows reports whether the upstream is eligible for new flows.
 func (t *target) acceptsFlows() bool {
-	return !t.cookieCollision && !t.Ended && t.State == upstream.Ready
+	return t.cookies.Active() != 0 && !t.Ended && t.State == upstream.Ready
 }
--- a/internal/cookie/router/uneven.go
+++ b/internal/cookie/router/uneven.go
@@ -183,13 +183,16 @@
 	slices.SortStableFunc(s.counted, func(x, y *target) int { return cmp.Compare(x.reportOrder(), y.reportOrder()) })
 	n := min(len(s.counted), room)
 	for _, t := range s.counted[:n] {
+		if t.cookies.Active() == 0 {
+			continue
+		}
 		i := slices.IndexFunc(a.Zones, func(z evidence.ZoneAnswers) bool { return z.Zone == t.Zone })
 		if i < 0 {
 			i = len(a.Zones)
 			a.Zones = append(a.Zones, evidence.ZoneAnswers{Zone: t.Zone, Slots: uint32(p.slotsIn(t.Zone))})
 		}
 		a.Zones[i].Counts = append(a.Zones[i].Counts, evidence.Count{
-			Cookie: t.cookie, Total: t.answers.total, Short: t.answers.short, Slots: uint32(max(t.Slots, 1)),
+			Cookie: t.cookies.Active(), Total: t.answers.total, Short: t.answers.short, Slots: uint32(max(t.Slots, 1)),
 		})
 	}
 	s.drop(n)
@@ -235,10 +238,11 @@
 	kept := make(map[*target]bool, len(all))
 	used := map[*pool]map[string]int{}
 	for _, x := range all {
-		t := r.cookies[x.Cookie]
-		if t == nil || t.position.pool == nil || kept[t] || x.Halvings == 0 {
+		h := r.cookies.Lookup(x.Cookie)
+		if h == nil || h.Value.position.pool == nil || kept[h.Value] || x.Halvings == 0 {
 			continue
 		}
+		t := h.Value
 		p := t.position.pool
 		if used[p] == nil {
 			used[p] = map[string]int{}
--- a/internal/cookie/router/upstreams.go
+++ b/internal/cookie/router/upstreams.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"wasabideal/internal/cookie/allocation"
 	"wasabideal/internal/upstream/view"
 )
 
@@ -22,22 +23,23 @@
 		r.setTarget(now, x)
 	}
 	for _, id := range c.Removed {
-		r.removeTarget(id)
+		r.removeTarget(now, id)
 	}
 	if c.Whole {
-		r.removeOthers(c.Targets)
+		r.removeOthers(now, c.Targets)
 	}
+	r.applyCookieChanges()
 }
 
 // removeOthers removes all upstreams except the given ones.
-func (r *Router) removeOthers(kept []view.Target) {
+func (r *Router) removeOthers(now time.Time, kept []view.Target) {
 	keep := make(map[uint64]bool, len(kept))
 	for _, x := range kept {
 		keep[x.Incarnation] = true
 	}
 	for id := range r.targets {
 		if !keep[id] {
-			r.removeTarget(id)
+			r.removeTarget(now, id)
 		}
 	}
 }
@@ -49,13 +51,7 @@
 		t = nil
 	}
 	if t == nil {
-		t = &target{cookie: Cookie(x.Incarnation, x.Born)}
-		// Two upstreams with the same cookie cannot be distinguished: the later one gets no
-		// flows, so that all packets with the cookie belong to the earlier one.
-		if holder := r.cookies[t.cookie]; holder != nil {
-			t.cookieCollision = true
-			r.noteSharedCookie(holder, x)
-		}
+		t = r.addCookies(now, x)
 		t.service = r.service(x.Service)
 		t.load = t.service.load.zone(x.Zone)
 		r.targets[x.Incarnation] = t
@@ -65,17 +61,49 @@
 		t.endObserved = now
 	}
 	t.Target, t.zone = x, r.zone(x.Zone)
-	if !t.cookieCollision {
-		r.cookies[t.cookie] = t
-	}
 	r.updatePool(t)
 }
 
-// noteSharedCookie reports that a new upstream has the cookie of another one.
-func (r *Router) noteSharedCookie(holder *target, other view.Target) {
-	if r.settings.CookieShared != nil {
-		r.settings.CookieShared(SharedCookie{Cookie: holder.cookie, Holder: holder.Target, Other: other})
+// establishedAt returns when an upstream that becomes known now is established (see package allocation).
+// Most of those that a starting balancer receives have been known to others for long, and their flows
+// must not wait.
+func (r *Router) establishedAt(now time.Time, incarnation uint64) time.Time {
+	if now.Sub(r.targetsKnownAt) < allocation.MaxSettling && (r.recent == nil || !r.recent(incarnation)) {
+		return time.Time{}
+	}
+	return now.Add(r.settling)
+}
+
+// SetLevels sets the number of levels of the tree of balancers.
+func (r *Router) SetLevels(levels int) {
+	r.settling = min(time.Duration(max(levels, 1))*allocation.SettlingPerLevel, allocation.MaxSettling)
+}
+
+// SetRecent sets whether the source of the next update has known an upstream for less than
+// allocation.MaxSettling. Such upstreams are not established when this balancer hears of them while it starts.
+func (r *Router) SetRecent(recent func(incarnation uint64) bool) { r.recent = recent }
+
+// Recent returns the upstreams that are not established.
+func (r *Router) Recent(now time.Time) []uint64 {
+	var out []uint64
+	for id, t := range r.targets {
+		if !t.cookies.Established(now) {
+			out = append(out, id)
+		}
 	}
+	return out
+}
+
+// addCookies returns a new upstream with its cookies, or the former one if it was forgotten a short time ago.
+func (r *Router) addCookies(now time.Time, x view.Target) *target {
+	i := allocation.Instance{Incarnation: x.Incarnation, Born: x.Born}
+	if h := r.cookies.Restore(i); h != nil {
+		h.Value.forgotten = false
+		return h.Value
+	}
+	t := &target{Target: x}
+	r.cookies.Add(now, &t.cookies, i, t, r.establishedAt(now, x.Incarnation))
+	return t
 }
 
 // endInstance records that an upstream has restarted. While flows of the old instance may be
@@ -84,9 +112,7 @@
 	t.Ended, t.endObserved = true, now
 	t.removeFromPool()
 	delete(r.targets, t.Incarnation)
-	if !t.cookieCollision {
-		r.formerInstances = append(r.formerInstances, formerInstance{target: t, since: now})
-	}
+	r.cookies.Retire(now, &t.cookies)
 }
 
 // successor returns the current instance of an upstream that has restarted, or nil if there is none
@@ -98,31 +124,21 @@
 		return nil
 	}
 	next := r.targets[t.Incarnation]
-	if next == nil || next == t || next.cookieCollision || next.Service != t.Service {
+	if next == nil || next == t || next.Service != t.Service {
 		return nil
 	}
 	return next
 }
 
-// expireFormerInstances removes earlier instances after formerInstanceTTL, when their flows
-// have all ended.
-func (r *Router) expireFormerInstances(now time.Time) {
-	for len(r.formerInstances) > 0 && now.Sub(r.formerInstances[0].since) > formerInstanceTTL {
-		delete(r.cookies, r.formerInstances[0].target.cookie)
-		r.formerInstances = r.formerInstances[1:]
-	}
-}
-
-func (r *Router) removeTarget(id uint64) {
+func (r *Router) removeTarget(now time.Time, id uint64) {
 	t := r.targets[id]
 	if t == nil {
 		return
 	}
 	t.removeFromPool()
 	delete(r.targets, id)
-	if !t.cookieCollision {
-		delete(r.cookies, t.cookie)
-	}
+	t.forgotten = true
+	r.cookies.Retire(now, &t.cookies)
 }
 
 // Upstreams returns the number of known upstreams.
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -146,7 +146,7 @@
 	if err != nil {
 		return err
 	}
-	c.remoteUpstreams = newRemoteUpstreams()
+	c.remoteUpstreams = newRemoteUpstreams(c.feed)
 	c.follower = follower.New(follower.Settings{Token: c.settings.GroupToken, Clock: c.settings.Clock}, c.remoteUpstreams, c.log)
 	c.upstreams = upstreams.New(upstreams.Settings{
 		Token: c.settings.GroupToken, Clock: c.settings.Clock, Self: c.AdvertisedAddress(),
@@ -160,6 +160,7 @@
 	c.feed.SetRemoteSource(c.remoteUpstreams)
 	c.feed.SetProber(c.prober())
 	c.restoreUpstreams()
+	c.restoreClaims()
 	c.server = rpc.NewServer(c.voter.RecordDenied)
 	c.voter.Serve(c.server)
 	c.feed.Serve(c.server, c.settings.GroupToken)
--- a/internal/daemon/control/remote.go
+++ b/internal/daemon/control/remote.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"math"
 	"net/netip"
 	"sync"
@@ -8,11 +9,14 @@
 
 	"github.com/samber/lo"
 
+	"wasabideal/internal/cookie/allocation"
+	"wasabideal/internal/cookie/claims"
 	"wasabideal/internal/cookie/follower"
 	"wasabideal/internal/fanout/origins"
 	"wasabideal/internal/model/configuration"
 	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/upstream/directory"
+	"wasabideal/internal/upstream/recent"
 	"wasabideal/internal/upstream/view"
 )
 
@@ -22,12 +26,26 @@
 type remoteUpstreams struct {
 	mu   sync.Mutex
 	view *view.View
+	// claims holds the claims on shared cookies.
+	claims claimStore
+	// firstState is when another voter first sent its state.
+	firstState time.Time
+	// reported holds the upstreams that the source of the next update has known for a short time only.
+	// recent holds when upstreams became known, for some time.
+	reported recent.Set
+	recent   map[uint64]time.Time
 	// version increases with each update of another voter that holds notices.
 	version uint64
 }
 
-func newRemoteUpstreams() *remoteUpstreams {
-	return &remoteUpstreams{view: view.New(view.Settings{ContactLease: follower.ContactLease, ForgetAfter: forgetAfter})}
+// claimStore holds the claims on shared cookies; feed.Feed implements it.
+type claimStore interface {
+	Claims() claims.Set
+	MergeClaims(all []claims.Claim)
+}
+
+func newRemoteUpstreams(c claimStore) *remoteUpstreams {
+	return &remoteUpstreams{claims: c, recent: map[uint64]time.Time{}, view: view.New(view.Settings{ContactLease: follower.ContactLease, ForgetAfter: forgetAfter})}
 }
 
 // Configuration returns the maximum revision, so that no configuration is fetched: voters receive
@@ -52,10 +70,29 @@
 // OnEvacuations ignores evacuation orders.
 func (o *remoteUpstreams) OnEvacuations(string, evacuation.Evacuations) {}
 
+// Claims returns this voter's claims on shared cookies.
+func (o *remoteUpstreams) Claims() claims.Set { return o.claims.Claims() }
+
+// OnClaims adds claims of another voter.
+func (o *remoteUpstreams) OnClaims(_ string, all []claims.Claim) { o.claims.MergeClaims(all) }
+
 // OnVoterState applies a voter's update.
 func (o *remoteUpstreams) OnVoterState(now time.Time, x origins.Update) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.firstState.IsZero() {
+		o.firstState = now
+	}
+	starting := now.Sub(o.firstState) < allocation.MaxSettling
+	for _, n := range x.Notices {
+		if starting && !o.reported.Has(n.Upstream.Incarnation) {
+			continue
+		}
+		if t, known := o.view.Target(now, n.Upstream.Incarnation); !known || t.Born != n.Upstream.Born {
+			o.recent[n.Upstream.Incarnation] = now
+		}
+	}
+	maps.DeleteFunc(o.recent, func(_ uint64, at time.Time) bool { return now.Sub(at) > allocation.MaxSettling })
 	o.view.ApplyNotices(now, x.Voter, x.Life, x.Notices)
 	if len(x.Notices) > 0 {
 		o.version++
@@ -83,6 +120,20 @@
 	return out
 }
 
+// Recent returns the upstreams that other voters reported for the first time within a duration.
+func (o *remoteUpstreams) Recent(now time.Time, within time.Duration) []uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return lo.Keys(lo.PickBy(o.recent, func(_ uint64, at time.Time) bool { return now.Sub(at) < within }))
+}
+
+// OnRecent receives the upstreams that another voter has known for a short time only.
+func (o *remoteUpstreams) OnRecent(all recent.Set) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reported = all
+}
+
 // Address returns the address of an upstream that other voters reported.
 func (o *remoteUpstreams) Address(now time.Time, incarnation, born uint64) (netip.AddrPort, bool) {
 	o.mu.Lock()
--- a/internal/daemon/cookie/cookie.go
+++ b/internal/daemon/cookie/cookie.go
@@ -125,8 +125,9 @@
 	unresponsive map[evidence.Subject]bool
 	// unplaced buffers packets that cannot be placed yet.
 	unplaced *pending.Buffer[packetKey, bufferedPacket]
-	// unplacedCold is set if unplaced holds packets that wait for an upstream to warm up.
-	unplacedCold bool
+	// retryUnplaced is set if unplaced holds packets that wait for an upstream to warm up or to become
+	// established.
+	retryUnplaced bool
 	// awaitingCapacity buffers packets that wait for capacity at their upstream.
 	awaitingCapacity *pending.Buffer[packetKey, bufferedPacket]
 	// uploads is nil if pacing is disabled.
@@ -136,6 +137,10 @@
 	configuration configuration.Configuration
 	// evacuations are the evacuation orders in force for availability zones.
 	evacuations evacuation.Evacuations
+	// cookieLog limits the log lines on shared cookies.
+	cookieLog *ratelimit.Limiter
+	// claimsNotified is the digest of the claims on shared cookies that followers were last notified of.
+	claimsNotified uint64
 	// refreshDue is set if a new configuration may allow placing buffered packets.
 	refreshDue bool
 	lastPacket time.Time
@@ -167,8 +172,8 @@
 		settings: s, log: log, socket: socket, counts: newCounts(),
 		suspicions: suspicions.New(follower.ContactLease), unresponsive: map[evidence.Subject]bool{},
 		unplaced: pending.New[packetKey, bufferedPacket](), awaitingCapacity: pending.New[packetKey, bufferedPacket](),
-		weightLog: ratelimit.New(maxWeightLines),
-		view:      view.New(view.Settings{ContactLease: follower.ContactLease, UnconfirmedTTL: unconfirmedTTL, ForgetAfter: forgetAfter}),
+		weightLog: ratelimit.New(maxWeightLines), cookieLog: ratelimit.New(maxCookieLines),
+		view: view.New(view.Settings{ContactLease: follower.ContactLease, UnconfirmedTTL: unconfirmedTTL, ForgetAfter: forgetAfter}),
 	}
 	if uplink.NeedsPacing(s.LinkBytesPerSecond) && !s.Off.Has(mechanism.Pacing) {
 		b.uploads = newUploads(s.LinkBytesPerSecond)
@@ -281,6 +286,7 @@
 	}
 	b.refreshDue = false
 	b.router.Update(now, changes)
+	b.notifyClaims()
 	ready := b.configuration.Revision > 0 && b.router.Upstreams() > 0
 	if ready != b.ready.Swap(ready) {
 		b.log.Info("readiness", "Ready", ready, "Revision", b.configuration.Revision, "Upstreams", b.router.Upstreams())
@@ -296,12 +302,6 @@
 		"Address", t.Address.String(), "Live", t.Live)
 }
 
-func (b *Balancer) recordSharedCookie(x router.SharedCookie) {
-	b.counts.cookiesShared.Inc(1)
-	b.log.Warn("two upstreams have one cookie", "Cookie", x.Cookie, "Holder", fmt.Sprintf("%x", x.Holder.Incarnation), "HolderService", x.Holder.Service,
-		"Other", fmt.Sprintf("%x", x.Other.Incarnation), "OtherService", x.Other.Service)
-}
-
 func (b *Balancer) recordZoneRefusal(zone string) {
 	b.counts.zonesRefused.Inc(1)
 	b.log.Warn("all upstreams of a zone refuse new flows; placing them in other zones", "Zone", zone)
@@ -318,13 +318,15 @@
 			b.mu.Lock()
 			now := b.settings.Clock()
 			b.router.SetBalancers(b.follower.Balancers())
-			b.router.SetPeers(now, b.follower.Peers())
+			peers := b.follower.Peers()
+			b.router.SetPeers(now, peers)
+			b.router.SetLevels(b.settings.Shape.Levels(len(peers)))
 			b.updateLink(now)
 			b.router.Tick(now)
 			b.refresh(now)
 			b.placeBuffered(now, b.awaitingCapacity)
-			if b.unplacedCold {
-				b.unplacedCold = false
+			if b.retryUnplaced {
+				b.retryUnplaced = false
 				b.placeBuffered(now, b.unplaced)
 			}
 			if b.suspicions.Expire(now) || b.suspicions.Any() && now.Sub(b.suspicionsApplied) >= livenessReportInterval {
--- a/internal/daemon/cookie/fanout.go
+++ b/internal/daemon/cookie/fanout.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/lo"
 
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/control/feed"
 	"wasabideal/internal/control/referral"
 	"wasabideal/internal/control/upstreams"
+	"wasabideal/internal/cookie/claims"
 	"wasabideal/internal/cookie/follower"
 	"wasabideal/internal/fanout/chunk"
 	"wasabideal/internal/fanout/member"
@@ -24,6 +26,7 @@
 	"wasabideal/internal/silence/sample"
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/upstream/handover"
+	"wasabideal/internal/upstream/recent"
 	"wasabideal/internal/wire/rpc"
 	"wasabideal/internal/zoneload/status"
 )
@@ -100,6 +103,10 @@
 		return x.configuration(revision)
 	})
 	rpc.Handle(x.server, feed.ReportsMethod, s.Token, b.forwardReports)
+	rpc.Handle(x.server, feed.MergeClaimsMethod, s.Token, func(_ context.Context, all []claims.Claim) (empty, error) {
+		b.OnClaims("", all)
+		return empty{}, nil
+	})
 	rpc.Handle(x.server, feed.RecordFollowersMethod, s.Token, func(_ context.Context, all []members.Heartbeat) (empty, error) {
 		b.follower.RecordFollowers(s.Clock(), all)
 		return empty{}, nil
@@ -177,6 +184,12 @@
 		e := b.evacuations
 		resp.Evacuations, changed = &e, true
 	}
+	if resp.ClaimsDigest = b.router.Claims().Digest(); resp.ClaimsDigest != req.Claims {
+		resp.Claims, changed = b.router.Claims().All(), true
+	}
+	if req.Starting {
+		resp.Recent = lo.ToPtr(recent.Of(b.router.Recent(now)))
+	}
 	chunk.New(b.settings.Zone).Fill(resp.Origins, func(x origins.Update) []directory.Notice {
 		version := uint64(0)
 		if k := known[x.Voter]; k.Life == x.Life {
--- a/internal/daemon/cookie/metrics.go
+++ b/internal/daemon/cookie/metrics.go
@@ -20,7 +20,6 @@
 	sendErrors       metrics.Counter
 	suspicions       metrics.Counter
 	zonesRefused     metrics.Counter
-	cookiesShared    metrics.Counter
 	unresponsive     metrics.Counter
 	reportedEvents   metrics.Counter
 	rejectedUse      metrics.Counter
@@ -40,7 +39,6 @@
 		sendErrors:     metrics.NewRegisteredCounter("SendErrorsTotal", r),
 		suspicions:     metrics.NewRegisteredCounter("SuspicionsTotal", r),
 		zonesRefused:   metrics.NewRegisteredCounter("ZonesRefusedTotal", r),
-		cookiesShared:  metrics.NewRegisteredCounter("CookiesSharedTotal", r),
 		unresponsive:   metrics.NewRegisteredCounter("UnresponsiveTotal", r),
 		reportedEvents: metrics.NewRegisteredCounter("SilenceReportedTotal", r),
 		rejectedUse:    metrics.NewCounter(),
@@ -85,6 +83,9 @@
 	if b.settings.uneven() {
 		set("UpstreamsReduced", b.router.Reduced())
 	}
+	set("CookiesShared", b.router.SharedCookies())
+	set("CookieClaims", b.router.Claims().Len())
+	set("UpstreamsWithoutCookie", b.router.WithoutCookie())
 	set("EvacuationsRevision", int(b.evacuations.Revision))
 	set("ZonesEvacuated", len(b.evacuations.EvacuatedZones()))
 	if b.uploads != nil {
--- a/internal/daemon/cookie/packets.go
+++ b/internal/daemon/cookie/packets.go
@@ -74,7 +74,7 @@
 	}
 	if v.Action == router.Drop && v.Reason.Temporary() && !b.settings.Off.Has(mechanism.KeptPackets) {
 		b.bufferPacket(now, arrived, p, data)
-		b.unplacedCold = b.unplacedCold || v.Reason == router.Cold
+		b.retryUnplaced = b.retryUnplaced || v.Reason == router.Cold || v.Reason == router.NewUpstream
 	}
 	b.execute(now, p, data, v)
 	return v
--- a/internal/fanout/relay/relay.go
+++ b/internal/fanout/relay/relay.go
@@ -6,10 +6,12 @@
 	"sync"
 	"time"
 
+	"wasabideal/internal/cookie/claims"
 	"wasabideal/internal/fanout/member"
 	"wasabideal/internal/fanout/origins"
 	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/silence/verdicts"
+	"wasabideal/internal/upstream/recent"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -50,6 +52,10 @@
 	// follower holds. A parent that does not know these fields ignores them.
 	TakesUneven bool             `cbor:",omitempty"`
 	Uneven      []verdicts.Known `cbor:",omitempty"`
+	// Claims is the ClaimsDigest that the follower received last.
+	Claims uint64 `cbor:",omitempty"`
+	// Starting requests Recent.
+	Starting bool `cbor:",omitempty"`
 }
 
 // Response contains what a follower lacks.
@@ -73,6 +79,12 @@
 	Evacuations *evacuation.Evacuations `cbor:",omitempty"`
 	// Uneven holds the voters' verdicts on uneven upstreams if the follower requests them.
 	Uneven []verdicts.Update `cbor:",omitempty"`
+	// Claims holds all claims on shared cookies that this balancer knows, if ClaimsDigest, which
+	// identifies them, differs from that in the request.
+	Claims       []claims.Claim `cbor:",omitempty"`
+	ClaimsDigest uint64         `cbor:",omitempty"`
+	// Recent lists the upstreams that this balancer has known for a short time only.
+	Recent *recent.Set `cbor:",omitempty"`
 }
 
 // FullError is returned if this balancer has the maximum number of followers.
--- a/internal/silence/evidence/evidence.go
+++ b/internal/silence/evidence/evidence.go
@@ -62,7 +62,8 @@
 }
 
 // Count counts the answers of one instance of an upstream. The cookie identifies the instance in 5
-// instead of 18 bytes; two upstreams with the same cookie never both get flows.
+// instead of 18 bytes; it is the cookie of the instance's new
+// flows, which no other upstream has.
 type Count struct {
 	_                   struct{} `cbor:",toarray"`
 	Cookie              uint32
--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -50,8 +50,10 @@
 	upstream.Upstream
 	coldUntil     time.Time
 	lastAnnounced time.Time
-	silent        bool
-	replaced      bool
+	// firstAnnounced is when this instance of the upstream became known.
+	firstAnnounced time.Time
+	silent         bool
+	replaced       bool
 	// successorAlive reports whether the incarnation that replaced this one is alive.
 	successorAlive bool
 	restored       bool
@@ -93,7 +95,10 @@
 		return false, false
 	}
 	d.releaseAddress(u, old)
-	e := &entry{Upstream: u, coldUntil: now.Add(cold), lastAnnounced: now}
+	e := &entry{Upstream: u, coldUntil: now.Add(cold), lastAnnounced: now, firstAnnounced: now}
+	if old != nil && old.Born == u.Born {
+		e.firstAnnounced = old.firstAnnounced
+	}
 	d.entries[u.Incarnation] = e
 	publish = old == nil || old.silent || old.replaced || old.restored || !equalExceptSequence(old.Upstream, u)
 	if u.State == upstream.Ready && d.maybeDelayed(now, u, old) {
@@ -253,6 +258,24 @@
 	return e.Address, true
 }
 
+// MarkEstablished records that all instances have been known for long.
+func (d *Directory) MarkEstablished() {
+	for _, e := range d.entries {
+		e.firstAnnounced = time.Time{}
+	}
+}
+
+// Recent returns the upstreams of which an instance became known within a duration.
+func (d *Directory) Recent(now time.Time, within time.Duration) []uint64 {
+	var out []uint64
+	for id, e := range d.entries {
+		if !e.restored && now.Sub(e.firstAnnounced) < within {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // RecentAddresses returns the addresses of up to limit ready upstreams with the most recent
 // announcements, except for the excluded ones.
 func (d *Directory) RecentAddresses(limit int, excluded func(incarnation uint64) bool) []netip.AddrPort {
--- /dev/null
+++ b/internal/upstream/recent/doc.go
@@ -0,0 +1,2 @@
+// Package recent holds which upstreams a voter or balancer has known for a short time only.
+package recent
