--- a/internal/control/feed/claims.go
+++ b/internal/control/feed/claims.go
@@ -4,11 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/samber/lo"
-
-	"wasabideal/internal/cookie/allocation"
 	"wasabideal/internal/cookie/claims"
-	"wasabideal/internal/upstream/recent"
 	"wasabideal/internal/wire/rpc"
 )
 
@@ -51,17 +47,17 @@
 	return true
 }
 
-// attachRecent adds the upstreams that became known within allocation.MaxSettling to a response with notices.
+// attachRecent adds the upstreams that became known a short time ago to a response with notices.
 func (f *Feed) attachRecent(now time.Time, resp *Response) {
 	if len(resp.Notices)+len(resp.Encoded)+len(resp.Packed) == 0 {
 		return
 	}
-	all := f.directory.Recent(now, allocation.MaxSettling)
+	all := f.directory.Recent(now)
 	if f.remoteUpstreams.source != nil {
-		all = append(all, f.remoteUpstreams.source.Recent(now, allocation.MaxSettling)...)
+		all = all.With(f.remoteUpstreams.source.Recent(now))
 	}
-	if len(all) > 0 {
-		resp.Recent = lo.ToPtr(recent.Of(all))
+	if !all.Empty() {
+		resp.Recent = &all
 	}
 }
 
--- a/internal/control/feed/feed_test.go
+++ b/internal/control/feed/feed_test.go
@@ -19,6 +19,7 @@
 	"wasabideal/internal/silence/evidence"
 	"wasabideal/internal/silence/probe"
 	"wasabideal/internal/upstream/directory"
+	"wasabideal/internal/upstream/recent"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -225,7 +226,7 @@
 	return out
 }
 
-func (remoteSource) Recent(time.Time, time.Duration) []uint64 { return nil }
+func (remoteSource) Recent(time.Time) recent.Set { return recent.Set{} }
 
 func (r remoteSource) Address(time.Time, uint64, uint64) (netip.AddrPort, bool) {
 	return netip.AddrPort{}, false
@@ -278,7 +279,7 @@
 // A starting balancer must not take an upstream that has just started for one that all balancers know.
 func TestStartingBalancerLearnsWhichUpstreamsAreRecent(t *testing.T) {
 	now := epoch
-	f := feed.New(1, directory.New(directory.Settings{SilentAfter: time.Minute, ForgetAfter: time.Hour}), func() time.Time { return now })
+	f := feed.New(1, directory.New(directory.Settings{SilentAfter: time.Minute, ForgetAfter: time.Hour, RecentFor: 3 * time.Second}), func() time.Time { return now })
 	f.Announce(now, announced(1), 0)
 	f.MarkEstablished()
 	f.Announce(now, announced(2), 0)
--- a/internal/control/feed/remote.go
+++ b/internal/control/feed/remote.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wasabideal/internal/upstream/directory"
+	"wasabideal/internal/upstream/recent"
 )
 
 // remoteCacheTTL is how long the encoded upstreams of other voters are reused. Encoding
@@ -17,8 +18,8 @@
 type RemoteSource interface {
 	// Live returns the live upstreams of the other voters.
 	Live(now time.Time) []directory.Notice
-	// Recent returns the upstreams of the other voters that became known within a duration.
-	Recent(now time.Time, within time.Duration) []uint64
+	// Recent returns the upstreams of the other voters that became known a short time ago.
+	Recent(now time.Time) recent.Set
 	// Address returns the address of an upstream, if another voter knows it.
 	Address(now time.Time, incarnation, born uint64) (netip.AddrPort, bool)
 }
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -22,6 +22,7 @@
 	"wasabideal/internal/control/rostermanager"
 	"wasabideal/internal/control/upstreams"
 	"wasabideal/internal/control/voter"
+	"wasabideal/internal/cookie/allocation"
 	"wasabideal/internal/cookie/follower"
 	"wasabideal/internal/disk/folder"
 	"wasabideal/internal/disk/local"
@@ -140,7 +141,7 @@
 		return err
 	}
 	c.feed = feed.New(newProcessID(), directory.New(directory.Settings{
-		SilentAfter: c.settings.SilentAfter, ForgetAfter: forgetAfter,
+		SilentAfter: c.settings.SilentAfter, ForgetAfter: forgetAfter, RecentFor: allocation.MaxSettling,
 	}), c.settings.Clock)
 	c.voter, err = voter.New(c.voterSettings(id), w, durable, trail, c.log)
 	if err != nil {
--- a/internal/daemon/control/remote.go
+++ b/internal/daemon/control/remote.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"maps"
 	"math"
 	"net/netip"
 	"sync"
@@ -31,9 +30,9 @@
 	// firstState is when another voter first sent its state.
 	firstState time.Time
 	// reported holds the upstreams that the source of the next update has known for a short time only.
-	// recent holds when upstreams became known, for some time.
+	// recent records when upstreams became known.
 	reported recent.Set
-	recent   map[uint64]time.Time
+	recent   *recent.Tracker
 	// version increases with each update of another voter that holds notices.
 	version uint64
 }
@@ -45,7 +44,7 @@
 }
 
 func newRemoteUpstreams(c claimStore) *remoteUpstreams {
-	return &remoteUpstreams{claims: c, recent: map[uint64]time.Time{}, view: view.New(view.Settings{ContactLease: follower.ContactLease, ForgetAfter: forgetAfter})}
+	return &remoteUpstreams{claims: c, recent: recent.NewTracker(allocation.MaxSettling), view: view.New(view.Settings{ContactLease: follower.ContactLease, ForgetAfter: forgetAfter})}
 }
 
 // Configuration returns the maximum revision, so that no configuration is fetched: voters receive
@@ -89,10 +88,9 @@
 			continue
 		}
 		if t, known := o.view.Target(now, n.Upstream.Incarnation); !known || t.Born != n.Upstream.Born {
-			o.recent[n.Upstream.Incarnation] = now
+			o.recent.Note(now, n.Upstream.Incarnation)
 		}
 	}
-	maps.DeleteFunc(o.recent, func(_ uint64, at time.Time) bool { return now.Sub(at) > allocation.MaxSettling })
 	o.view.ApplyNotices(now, x.Voter, x.Life, x.Notices)
 	if len(x.Notices) > 0 {
 		o.version++
@@ -120,11 +118,11 @@
 	return out
 }
 
-// Recent returns the upstreams that other voters reported for the first time within a duration.
-func (o *remoteUpstreams) Recent(now time.Time, within time.Duration) []uint64 {
+// Recent returns the upstreams that other voters reported for the first time a short time ago.
+func (o *remoteUpstreams) Recent(now time.Time) recent.Set {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return lo.Keys(lo.PickBy(o.recent, func(_ uint64, at time.Time) bool { return now.Sub(at) < within }))
+	return o.recent.Recent(now)
 }
 
 // OnRecent receives the upstreams that another voter has known for a short time only.
--- a/internal/upstream/directory/directory.go
+++ b/internal/upstream/directory/directory.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"wasabideal/internal/model/upstream"
+	"wasabideal/internal/upstream/recent"
 )
 
 // withdrawnGrace is how long a withdrawn upstream may still serve its open flows. The upstream
@@ -23,6 +24,8 @@
 	SilentAfter time.Duration
 	// ForgetAfter is how long silent and withdrawn upstreams are kept.
 	ForgetAfter time.Duration
+	// RecentFor is how long an upstream that became known is recent.
+	RecentFor time.Duration
 }
 
 // Notice is the state of one upstream as the directory publishes it.
@@ -50,10 +53,8 @@
 	upstream.Upstream
 	coldUntil     time.Time
 	lastAnnounced time.Time
-	// firstAnnounced is when this instance of the upstream became known.
-	firstAnnounced time.Time
-	silent         bool
-	replaced       bool
+	silent        bool
+	replaced      bool
 	// successorAlive reports whether the incarnation that replaced this one is alive.
 	successorAlive bool
 	restored       bool
@@ -70,11 +71,12 @@
 	// holders maps each address to its holder, the incarnation that took it last.
 	holders map[netip.AddrPort]uint64
 	version uint64
+	recent  *recent.Tracker
 }
 
 // New returns an empty directory.
 func New(s Settings) *Directory {
-	return &Directory{settings: s, entries: map[uint64]*entry{}, holders: map[netip.AddrPort]uint64{}}
+	return &Directory{settings: s, entries: map[uint64]*entry{}, holders: map[netip.AddrPort]uint64{}, recent: recent.NewTracker(s.RecentFor)}
 }
 
 // Version increases with each change that Since returns.
@@ -95,9 +97,9 @@
 		return false, false
 	}
 	d.releaseAddress(u, old)
-	e := &entry{Upstream: u, coldUntil: now.Add(cold), lastAnnounced: now, firstAnnounced: now}
-	if old != nil && old.Born == u.Born {
-		e.firstAnnounced = old.firstAnnounced
+	e := &entry{Upstream: u, coldUntil: now.Add(cold), lastAnnounced: now}
+	if old == nil || old.Born != u.Born {
+		d.recent.Note(now, u.Incarnation)
 	}
 	d.entries[u.Incarnation] = e
 	publish = old == nil || old.silent || old.replaced || old.restored || !equalExceptSequence(old.Upstream, u)
@@ -259,22 +261,10 @@
 }
 
 // MarkEstablished records that all instances have been known for long.
-func (d *Directory) MarkEstablished() {
-	for _, e := range d.entries {
-		e.firstAnnounced = time.Time{}
-	}
-}
+func (d *Directory) MarkEstablished() { d.recent.Clear() }
 
-// Recent returns the upstreams of which an instance became known within a duration.
-func (d *Directory) Recent(now time.Time, within time.Duration) []uint64 {
-	var out []uint64
-	for id, e := range d.entries {
-		if !e.restored && now.Sub(e.firstAnnounced) < within {
-			out = append(out, id)
-		}
-	}
-	return out
-}
+// Recent returns the upstreams of which an instance became known within Settings.RecentFor.
+func (d *Directory) Recent(now time.Time) recent.Set { return d.recent.Recent(now) }
 
 // RecentAddresses returns the addresses of up to limit ready upstreams with the most recent
 // announcements, except for the excluded ones.
