--- a/internal/cookie/router/target.go
+++ b/internal/cookie/router/target.go
@@ -69,6 +69,15 @@
 	return max(uint32(incarnation)^uint32(incarnation>>32)*0x9e3779b1^uint32(born)*0x85ebca6b^uint32(born>>32)*0xc2b2ae35, 1)
 }
 
+// Cookies returns all cookies of an upstream.
+func Cookies(incarnation, born uint64) [allocation.Choices]uint32 {
+	var all [allocation.Choices]uint32
+	for choice := range all {
+		all[choice] = cookieOf(incarnation, born, choice)
+	}
+	return all
+}
+
 // cookieOf returns one of an upstream's cookies. The further ones are other hashes: upstreams that share the
 // first one differ in them.
 func cookieOf(incarnation, born uint64, choice int) uint32 {
--- a/internal/soak/run/callers.go
+++ b/internal/soak/run/callers.go
@@ -35,6 +35,8 @@
 	packets  chan received
 	port     uint16
 	requests int
+	// upstream is the address of the upstream that accepted the latest flow.
+	upstream netip.AddrPort
 	// busy is held while a burst or a probe uses the caller: the last flow of a burst may outlast it.
 	busy sync.Mutex
 }
@@ -140,6 +142,7 @@
 		return s, false
 	}
 	c.run.count(&c.run.opened)
+	c.upstream = opened.from
 	next := s
 	next.Opening, next.Open, next.Acknowledge, next.Copy = false, false, true, 0
 	next.Sequence, next.Acknowledged, next.Cookie = s.Sequence+1, opened.Sequence+1, opened.Cookie
@@ -188,7 +191,7 @@
 		return responseBody{}, false
 	}
 	if p.Reset {
-		c.run.checkReset(*next, p)
+		c.run.checkReset(*next, c.upstream, p)
 		return responseBody{}, false
 	}
 	var a responseBody
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -346,16 +346,17 @@
 	return r.stopped[incarnation]
 }
 
-// checkReset reports a violation if the upstream of a reset flow was neither stopped nor restarted.
+// checkReset reports a violation if the upstream of a reset flow, at its address, was neither stopped nor
+// restarted.
 // The report names the sender of the reset.
-func (r *Run) checkReset(flow Segment, reset received) {
+func (r *Run) checkReset(flow Segment, at netip.AddrPort, reset received) {
 	r.mu.Lock()
 	upstreams := slices.Clone(r.upstreams)
 	r.mu.Unlock()
-	// This code does not hold r.mu: cookie locks the upstream, and an upstream that handles a
+	// This code does not hold r.mu: hasCookie locks the upstream, and an upstream that handles a
 	// packet holds its lock while it waits for r.mu.
 	placed, alive := lo.Find(upstreams, func(u *simulatedUpstream) bool {
-		return u.cookie() == flow.Cookie && !r.isStopped(u.self.Incarnation)
+		return u.self.Address == at && u.hasCookie(flow.Cookie) && !r.isStopped(u.self.Incarnation)
 	})
 	if !alive {
 		return
--- a/internal/soak/run/upstreams.go
+++ b/internal/soak/run/upstreams.go
@@ -5,9 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,9 +71,10 @@
 		return nil, fmt.Errorf("listen for probes of upstream: %w", err)
 	}
 	u := &simulatedUpstream{run: r, conn: conn, probeListener: probeListener, flows: map[netip.AddrPort]*upstreamFlow{}, slots: make(chan struct{}, slotsPerUpstream), done: make(chan struct{})}
+	born := uint64(time.Now().UnixMilli())
 	u.self = upstream.Upstream{
-		Identity: upstream.Identity{Service: service, Address: a, Incarnation: rand.Uint64() >> 24},
-		Zone:     zone, Slots: slotsPerUpstream, State: upstream.Ready, Born: uint64(time.Now().UnixMilli()),
+		Identity: upstream.Identity{Service: service, Address: a, Incarnation: r.newIncarnation(born)},
+		Zone:     zone, Slots: slotsPerUpstream, State: upstream.Ready, Born: born,
 	}
 	r.startGoroutine(u.serve)
 	r.startGoroutine(u.announce)
@@ -247,9 +250,31 @@
 	u.run.network.deliver(func() { _, _ = u.conn.WriteToUDPAddrPort(u.run.settings.Platform.Encode(s), to) })
 }
 
-// cookie returns the cookie of flows that were opened since the last restart.
-func (u *simulatedUpstream) cookie() uint32 {
+// hasCookie reports whether flows that were opened since the last restart may have a cookie.
+func (u *simulatedUpstream) hasCookie(cookie uint32) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return router.Cookie(u.self.Incarnation, u.self.Born)
+	cookies := router.Cookies(u.self.Incarnation, u.self.Born)
+	return slices.Contains(cookies[:], cookie)
+}
+
+// sharedCookieShare is the inverse share of upstreams that start with the cookie of another one.
+const sharedCookieShare = 3
+
+// newIncarnation returns a random incarnation. Some have the cookie of another upstream.
+func (r *Run) newIncarnation(born uint64) uint64 {
+	id := rand.Uint64() >> 24
+	r.mu.Lock()
+	upstreams := slices.Clone(r.upstreams)
+	r.mu.Unlock()
+	if len(upstreams) == 0 || rand.IntN(sharedCookieShare) != 0 {
+		return id
+	}
+	// This code does not hold r.mu, as in checkReset.
+	other := upstreams[rand.IntN(len(upstreams))]
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	// Cookie is linear in the lower half of the incarnation.
+	high := id &^ math.MaxUint32
+	return high | uint64(router.Cookie(high|1, born)^1^router.Cookie(other.self.Incarnation, other.self.Born))
 }
