--- a/internal/cookie/router/upstreams.go
+++ b/internal/cookie/router/upstreams.go
@@ -51,9 +51,7 @@
 		t = nil
 	}
 	if t == nil {
-		t = r.addCookies(now, x)
-		t.service = r.service(x.Service)
-		t.load = t.service.load.zone(x.Zone)
+		t = r.addTarget(now, x)
 		r.targets[x.Incarnation] = t
 		r.zone(x.Zone).refusals.avoidUntil = time.Time{}
 	}
@@ -94,14 +92,16 @@
 	return out
 }
 
-// addCookies returns a new upstream with its cookies, or the former one if it was forgotten a short time ago.
-func (r *Router) addCookies(now time.Time, x view.Target) *target {
+// addTarget returns a new upstream with its cookies, or the former one if it was forgotten a short time ago: its
+// flows are still stored, and count in the load that it had.
+func (r *Router) addTarget(now time.Time, x view.Target) *target {
 	i := allocation.Instance{Incarnation: x.Incarnation, Born: x.Born}
 	if h := r.cookies.Restore(i); h != nil {
 		h.Value.forgotten = false
 		return h.Value
 	}
-	t := &target{Target: x}
+	t := &target{Target: x, service: r.service(x.Service)}
+	t.load = t.service.load.zone(x.Zone)
 	r.cookies.Add(now, &t.cookies, i, t, r.establishedAt(now, x.Incarnation))
 	return t
 }
--- a/internal/cookie/router/zoneload_internal_test.go
+++ b/internal/cookie/router/zoneload_internal_test.go
@@ -396,3 +396,20 @@
 		}
 	}
 }
+
+// An upstream that is forgotten and returns in another zone must not take its pending flows out of the load of
+// a zone that never counted them.
+func TestLoadOfUpstreamThatReturnsInAnotherZone(t *testing.T) {
+	r := loadRouter(t, 1)
+	v := r.Route(loadEpoch, Packet{Caller: loadCaller(1), Address: loadAddress, Opening: true})
+	require.Equal(t, Forward, v.Action)
+	p := Packet{Caller: loadCaller(1), Address: loadAddress, Cookie: v.Cookie, Sequence: 100, Length: 100}
+	r.Route(loadEpoch, p)
+	r.Update(loadEpoch, view.Changes{Removed: []uint64{v.Incarnation}})
+	r.Update(loadEpoch, view.Changes{Targets: []view.Target{loadTarget(v.Incarnation, "b")}})
+	p.Length, p.Acknowledged = 0, 200
+	r.Route(loadEpoch, p)
+	for _, z := range r.service("orders").load.zones {
+		require.Zero(t, z.occupied.InFlight())
+	}
+}
