--- a/internal/cookie/allocation/allocation.go
+++ b/internal/cookie/allocation/allocation.go
@@ -91,8 +91,8 @@
 // sharing holds the upstreams known here that have one cookie.
 type sharing[T any] struct {
 	candidates []*Holder[T]
-	// established is the candidate that was established here before the others were heard of, nil if
-	// there is none.
+	// established is the candidate that this balancer had known for so long that no other balancer gave the
+	// cookie to one of the others, nil if there is none.
 	established *Holder[T]
 }
 
@@ -159,7 +159,7 @@
 	}
 	if s == nil {
 		s = a.share(cookie)
-		if first != nil && first.Established(now) && !h.Established(now) {
+		if first != nil && first.Established(now.Add(-MaxSettling)) {
 			s.established = first
 		}
 	}
--- a/internal/cookie/allocation/allocation_test.go
+++ b/internal/cookie/allocation/allocation_test.go
@@ -20,11 +20,18 @@
 	return uint32(incarnation % 10)
 }
 
-func add(a *allocation.Allocation[string], at time.Time, incarnation uint64, established bool) *allocation.Holder[string] {
-	since := at.Add(allocation.SettlingPerLevel)
-	if established {
-		since = time.Time{}
-	}
+// age is how long a balancer has known an upstream.
+type age int
+
+const (
+	// fresh upstreams have just become known, and received ones came with the first state after a start.
+	fresh age = iota
+	received
+	old
+)
+
+func add(a *allocation.Allocation[string], at time.Time, incarnation uint64, known age) *allocation.Holder[string] {
+	since := map[age]time.Time{fresh: at.Add(allocation.SettlingPerLevel), received: at, old: at.Add(-time.Hour)}[known]
 	i := allocation.Instance{Incarnation: incarnation}
 	if h := a.Restore(i); h != nil {
 		return h
@@ -36,31 +43,34 @@
 
 func TestCookiesOfNewFlows(t *testing.T) {
 	for name, c := range map[string]struct {
-		// established are added first, fresh after them; claimed upstreams have a claim on their first cookie.
-		established, fresh, claimed []uint64
+		// old, received and fresh upstreams are added in this order; claimed ones have a claim on their first
+		// cookie.
+		old, received, fresh, claimed []uint64
 		// active are the cookies for new flows, 0 for none.
 		active map[uint64]uint32
 	}{
-		"no shared cookie":                      {established: []uint64{321, 654}, active: map[uint64]uint32{321: 1, 654: 4}},
-		"the established upstream keeps it":     {established: []uint64{321}, fresh: []uint64{541}, active: map[uint64]uint32{321: 1, 541: 4}},
-		"neither of two established ones":       {established: []uint64{321, 541}, active: map[uint64]uint32{321: 2, 541: 4}},
+		"no shared cookie":                      {old: []uint64{321, 654}, active: map[uint64]uint32{321: 1, 654: 4}},
+		"the upstream known for long keeps it":  {old: []uint64{321}, fresh: []uint64{541}, active: map[uint64]uint32{321: 1, 541: 4}},
+		"neither of two received ones":          {received: []uint64{321, 541}, active: map[uint64]uint32{321: 2, 541: 4}},
 		"neither of two new ones":               {fresh: []uint64{321, 541}, active: map[uint64]uint32{321: 2, 541: 4}},
-		"the one with the claim":                {established: []uint64{321, 541}, claimed: []uint64{541}, active: map[uint64]uint32{321: 2, 541: 1}},
-		"claims of both":                        {established: []uint64{321, 541}, claimed: []uint64{321, 541}, active: map[uint64]uint32{321: 2, 541: 4}},
-		"a claim of an unknown upstream":        {established: []uint64{321}, claimed: []uint64{541}, active: map[uint64]uint32{321: 2}},
-		"a further cookie of another upstream":  {established: []uint64{321}, fresh: []uint64{213}, active: map[uint64]uint32{321: 1, 213: 0}},
-		"all cookies are those of other ones":   {established: []uint64{987, 654}, fresh: []uint64{879}, active: map[uint64]uint32{987: 7, 654: 4, 879: 0}},
-		"two equal cookies of one upstream":     {established: []uint64{311}, fresh: []uint64{451}, active: map[uint64]uint32{311: 1, 451: 5}},
-		"three upstreams with the same cookies": {established: []uint64{321}, fresh: []uint64{541, 761}, active: map[uint64]uint32{321: 1, 541: 4, 761: 6}},
+		"the one with the claim":                {received: []uint64{321, 541}, claimed: []uint64{541}, active: map[uint64]uint32{321: 2, 541: 1}},
+		"claims of both":                        {received: []uint64{321, 541}, claimed: []uint64{321, 541}, active: map[uint64]uint32{321: 2, 541: 4}},
+		"a claim of an unknown upstream":        {received: []uint64{321}, claimed: []uint64{541}, active: map[uint64]uint32{321: 2}},
+		"a further cookie of another upstream":  {old: []uint64{321}, fresh: []uint64{213}, active: map[uint64]uint32{321: 1, 213: 0}},
+		"all cookies are those of other ones":   {old: []uint64{987, 654}, fresh: []uint64{879}, active: map[uint64]uint32{987: 7, 654: 4, 879: 0}},
+		"two equal cookies of one upstream":     {old: []uint64{311}, fresh: []uint64{451}, active: map[uint64]uint32{311: 1, 451: 5}},
+		"three upstreams with the same cookies": {old: []uint64{321}, fresh: []uint64{541, 761}, active: map[uint64]uint32{321: 1, 541: 4, 761: 6}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			a := allocation.New[string](cookies)
 			holders := map[uint64]*allocation.Holder[string]{}
-			for _, id := range c.established {
-				holders[id] = add(a, now, id, true)
-			}
-			for _, id := range c.fresh {
-				holders[id] = add(a, now, id, false)
+			for _, x := range []struct {
+				ids   []uint64
+				known age
+			}{{c.old, old}, {c.received, received}, {c.fresh, fresh}} {
+				for _, id := range x.ids {
+					holders[id] = add(a, now, id, x.known)
+				}
 			}
 			for _, id := range c.claimed {
 				a.Merge(claims.Set{}.With(claims.Claim{Cookie: cookies(id, 0, 0), Incarnation: id}))
@@ -79,10 +89,10 @@
 // a cut, keeps its cookies and stays established.
 func TestForgottenUpstreamReturns(t *testing.T) {
 	a := allocation.New[string](cookies)
-	h := add(a, now, 321, true)
+	h := add(a, now, 321, old)
 	a.Retire(now, h)
 	later := now.Add(time.Minute)
-	require.Same(t, h, add(a, later, 321, false))
+	require.Same(t, h, add(a, later, 321, fresh))
 	require.True(t, h.Established(later))
 	a.Expire(now.Add(time.Hour))
 	require.Same(t, h, a.Lookup(1))
@@ -92,12 +102,12 @@
 func TestCookiesOfForgottenUpstreamExpire(t *testing.T) {
 	for _, used := range []bool{false, true} {
 		a := allocation.New[string](cookies)
-		h := add(a, now, 321, false)
+		h := add(a, now, 321, fresh)
 		if used {
 			h.Use(1)
 		}
 		a.Retire(now, h)
-		other := add(a, now, 541, false)
+		other := add(a, now, 541, fresh)
 		require.Equal(t, uint32(4), other.Active())
 		a.Expire(now.Add(80 * time.Second))
 		require.Equal(t, uint32(4), other.Active())
@@ -109,11 +119,11 @@
 
 func TestChangesAreReportedOnce(t *testing.T) {
 	a := allocation.New[string](cookies)
-	first := add(a, now, 321, true)
+	first := add(a, now, 321, received)
 	reactivated, resolved := a.TakeChanges()
 	require.Equal(t, []*allocation.Holder[string]{first}, reactivated)
 	require.Empty(t, resolved)
-	second := add(a, now, 541, true)
+	second := add(a, now, 541, received)
 	reactivated, resolved = a.TakeChanges()
 	require.Subset(t, reactivated, []*allocation.Holder[string]{first, second})
 	require.Equal(t, []uint32{1}, resolved)
--- a/internal/cookie/allocation/doc.go
+++ b/internal/cookie/allocation/doc.go
@@ -7,8 +7,8 @@
 //
 //   - the only instance with a claim (see package claims): a balancer claims a shared cookie for each
 //     upstream that may have open flows with it,
-//   - without a claim, the upstream that was established before this balancer heard of the others; this
-//     balancer claims the cookie for it,
+//   - without a claim, the upstream that had been established for MaxSettling when this balancer heard of the
+//     others; this balancer claims the cookie for it,
 //   - otherwise none. Packets with the cookie are then forwarded only by a balancer that stores their flow.
 //
 // An upstream is established at a balancer some seconds after the balancer has heard of it. By then all
--- a/internal/cookie/router/router.go
+++ b/internal/cookie/router/router.go
@@ -13,6 +13,7 @@
 	"wasabideal/internal/model/evacuation"
 	"wasabideal/internal/placement/zoneshare"
 	"wasabideal/internal/silence/evidence"
+	"wasabideal/internal/upstream/recent"
 	"wasabideal/internal/upstream/view"
 	"wasabideal/internal/zoneload/snapshot"
 )
@@ -71,6 +72,8 @@
 	// recent reports whether the source of the next update has known an upstream for a short time only;
 	// nil stands for no upstream.
 	recent func(incarnation uint64) bool
+	// added records when upstreams became known that were not established at once.
+	added *recent.Tracker
 	// settling is how long an upstream that becomes known is not established.
 	settling time.Duration
 	// targetsKnownAt is when the router first received upstreams.
@@ -143,7 +146,7 @@
 func New(s Settings) *Router {
 	return &Router{
 		settings: s, assignment: assignment.New(s.Started, s.Self), reportBudget: reportBurst, rotation: int(s.Seed % initialRotations), routes: map[netip.AddrPort]route{}, targets: map[uint64]*target{},
-		cookies: allocation.New[*target](cookieOf), finished: map[Flow]finishedFlow{}, settling: allocation.SettlingPerLevel, pools: map[string]*pool{}, flows: map[Flow]*flow{},
+		cookies: allocation.New[*target](cookieOf), finished: map[Flow]finishedFlow{}, added: recent.NewTracker(allocation.MaxSettling), settling: allocation.SettlingPerLevel, pools: map[string]*pool{}, flows: map[Flow]*flow{},
 		zones: map[string]*zone{}, services: map[string]*service{},
 		recentHandshakes: minimum.New(recentHandshakeWindow), handshakes: minimum.New(handshakeWindow),
 	}
--- a/internal/cookie/router/upstreams.go
+++ b/internal/cookie/router/upstreams.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wasabideal/internal/cookie/allocation"
+	"wasabideal/internal/upstream/recent"
 	"wasabideal/internal/upstream/view"
 )
 
@@ -67,8 +68,9 @@
 // must not wait.
 func (r *Router) establishedAt(now time.Time, incarnation uint64) time.Time {
 	if now.Sub(r.targetsKnownAt) < allocation.MaxSettling && (r.recent == nil || !r.recent(incarnation)) {
-		return time.Time{}
+		return now
 	}
+	r.added.Note(now, incarnation)
 	return now.Add(r.settling)
 }
 
@@ -81,16 +83,8 @@
 // allocation.MaxSettling. Such upstreams are not established when this balancer hears of them while it starts.
 func (r *Router) SetRecent(recent func(incarnation uint64) bool) { r.recent = recent }
 
-// Recent returns the upstreams that are not established.
-func (r *Router) Recent(now time.Time) []uint64 {
-	var out []uint64
-	for id, t := range r.targets {
-		if !t.cookies.Established(now) {
-			out = append(out, id)
-		}
-	}
-	return out
-}
+// Recent returns the upstreams that became known a short time ago.
+func (r *Router) Recent(now time.Time) recent.Set { return r.added.Recent(now) }
 
 // addTarget returns a new upstream with its cookies, or the former one if it was forgotten a short time ago: its
 // flows are still stored, and count in the load that it had.
--- a/internal/daemon/cookie/fanout.go
+++ b/internal/daemon/cookie/fanout.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/samber/lo"
 
 	"wasabideal/internal/configuration/history"
 	"wasabideal/internal/control/feed"
@@ -26,7 +25,6 @@
 	"wasabideal/internal/silence/sample"
 	"wasabideal/internal/upstream/directory"
 	"wasabideal/internal/upstream/handover"
-	"wasabideal/internal/upstream/recent"
 	"wasabideal/internal/wire/rpc"
 	"wasabideal/internal/zoneload/status"
 )
@@ -188,7 +186,9 @@
 		resp.Claims, changed = b.router.Claims().All(), true
 	}
 	if req.Starting {
-		resp.Recent = lo.ToPtr(recent.Of(b.router.Recent(now)))
+		if all := b.router.Recent(now); !all.Empty() {
+			resp.Recent = &all
+		}
 	}
 	chunk.New(b.settings.Zone).Fill(resp.Origins, func(x origins.Update) []directory.Notice {
 		version := uint64(0)
