--- a/internal/control/feed/claims.go
+++ b/internal/control/feed/claims.go
@@ -39,8 +39,11 @@
 
 // attachClaims adds the claims to a response, and reports whether the balancer holds others.
 func (f *Feed) attachClaims(req Request, resp *Response) bool {
+	if req.Claims == nil {
+		return false
+	}
 	resp.ClaimsDigest = f.claims.Digest()
-	if resp.ClaimsDigest == req.Claims {
+	if resp.ClaimsDigest == *req.Claims {
 		return false
 	}
 	resp.Claims = f.claims.All()
--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -97,8 +97,9 @@
 	// and Response.Elsewhere. Balancers of earlier versions set neither.
 	AcceptsBusy   bool `cbor:",omitempty"`
 	AcceptsPacked bool `cbor:",omitempty"`
-	// Claims is the ClaimsDigest that the balancer received last.
-	Claims uint64 `cbor:",omitempty"`
+	// Claims is the ClaimsDigest that the balancer received last, nil if it knows no claims: earlier versions
+	// would be answered at once each time they poll.
+	Claims *uint64 `cbor:",omitempty"`
 	// Starting requests Response.Recent.
 	Starting bool `cbor:",omitempty"`
 }
--- a/internal/control/feed/feed_test.go
+++ b/internal/control/feed/feed_test.go
@@ -302,9 +302,30 @@
 	first := f.Since(t.Context(), feed.Request{})
 	require.Zero(t, first.ClaimsDigest)
 	f.MergeClaims([]claims.Claim{{Cookie: 5, Incarnation: 1}})
-	second := f.Since(t.Context(), feed.Request{Life: first.Life, Version: first.Version, Hold: time.Hour})
+	second := f.Since(t.Context(), feed.Request{Life: first.Life, Version: first.Version, Claims: new(uint64), Hold: time.Hour})
 	require.Len(t, second.Claims, 1)
-	third := f.Since(t.Context(), feed.Request{Life: first.Life, Version: first.Version, Claims: second.ClaimsDigest})
+	third := f.Since(t.Context(), feed.Request{Life: first.Life, Version: first.Version, Claims: &second.ClaimsDigest})
 	require.Empty(t, third.Claims)
 	require.Equal(t, second.ClaimsDigest, third.ClaimsDigest)
 }
+
+// A balancer of an earlier version polled without a pause: it never reported the claims that it was sent.
+func TestClaimsDoNotCompletePollsOfEarlierVersions(t *testing.T) {
+	f := newFeed()
+	first := f.Since(t.Context(), feed.Request{})
+	f.MergeClaims([]claims.Claim{{Cookie: 5, Incarnation: 1}})
+	ctx, cancel := context.WithCancel(t.Context())
+	polled := make(chan feed.Response)
+	go func() {
+		polled <- f.Since(ctx, feed.Request{Life: first.Life, Version: first.Version, Hold: time.Hour})
+	}()
+	select {
+	case <-polled:
+		require.Fail(t, "the poll was completed without news")
+	case <-time.After(50 * time.Millisecond):
+	}
+	cancel()
+	resp := <-polled
+	require.Empty(t, resp.Claims)
+	require.Zero(t, resp.ClaimsDigest)
+}
--- a/internal/cookie/follower/claims.go
+++ b/internal/cookie/follower/claims.go
@@ -42,11 +42,12 @@
 }
 
 // claimsOf returns the digest of a source's claims as of its last response. The caller holds the lock.
-func (f *Follower) claimsOf(address string) uint64 {
+func (f *Follower) claimsOf(address string) *uint64 {
+	var digest uint64
 	if src := f.polled[address]; src != nil {
-		return src.claims
+		digest = src.claims
 	}
-	return 0
+	return &digest
 }
 
 // enqueueClaims adds claims to the next report unless some were added within claimsInterval.
--- a/internal/cookie/router/cookies.go
+++ b/internal/cookie/router/cookies.go
@@ -113,7 +113,7 @@
 
 // noteFinished stores a flow that its caller has finished if the cookie alone does not tell its upstream.
 func (r *Router) noteFinished(now time.Time, k Flow, t *target) {
-	if !t.cookies.Unambiguous(now) {
+	if !t.cookies.Unambiguous(now) && len(r.finished) < maxFlows {
 		r.finished[k] = finishedFlow{t, now}
 	}
 }
--- a/internal/daemon/cookie/fanout.go
+++ b/internal/daemon/cookie/fanout.go
@@ -182,8 +182,10 @@
 		e := b.evacuations
 		resp.Evacuations, changed = &e, true
 	}
-	if resp.ClaimsDigest = b.router.Claims().Digest(); resp.ClaimsDigest != req.Claims {
-		resp.Claims, changed = b.router.Claims().All(), true
+	if req.Claims != nil {
+		if resp.ClaimsDigest = b.router.Claims().Digest(); resp.ClaimsDigest != *req.Claims {
+			resp.Claims, changed = b.router.Claims().All(), true
+		}
 	}
 	if req.Starting {
 		if all := b.router.Recent(now); !all.Empty() {
--- a/internal/fanout/relay/relay.go
+++ b/internal/fanout/relay/relay.go
@@ -52,8 +52,8 @@
 	// follower holds. A parent that does not know these fields ignores them.
 	TakesUneven bool             `cbor:",omitempty"`
 	Uneven      []verdicts.Known `cbor:",omitempty"`
-	// Claims is the ClaimsDigest that the follower received last.
-	Claims uint64 `cbor:",omitempty"`
+	// Claims is the ClaimsDigest that the follower received last, nil if it knows no claims.
+	Claims *uint64 `cbor:",omitempty"`
 	// Starting requests Recent.
 	Starting bool `cbor:",omitempty"`
 }
