--- a/internal/soak/run/upstreams.go
+++ b/internal/soak/run/upstreams.go
@@ -274,7 +274,8 @@
 	other := upstreams[rand.IntN(len(upstreams))]
 	other.mu.Lock()
 	defer other.mu.Unlock()
-	// Cookie is linear in the lower half of the incarnation.
-	high := id &^ math.MaxUint32
+	// Cookie is linear in the lower half of the incarnation. The upper half distinguishes upstreams that start
+	// in the same millisecond.
+	high := rand.Uint64() &^ math.MaxUint32
 	return high | uint64(router.Cookie(high|1, born)^1^router.Cookie(other.self.Incarnation, other.self.Born))
 }
