--- a/internal/cookie/allocation/allocation.go
+++ b/internal/cookie/allocation/allocation.go
@@ -153,7 +153,7 @@
 // join adds an upstream to the candidates for a cookie.
 func (a *Allocation[T]) join(now time.Time, cookie uint32, h *Holder[T]) {
 	s, first := a.shared[cookie], a.holders[cookie]
-	if s == nil && first == nil && len(a.claims.Of(cookie)) == 0 {
+	if s == nil && first == nil && !a.claims.Shared(cookie) {
 		a.holders[cookie] = h
 		return
 	}
@@ -181,6 +181,10 @@
 // candidate the cookie stands for.
 func (a *Allocation[T]) resolve(cookie uint32) {
 	s := a.shared[cookie]
+	if len(s.candidates) > 1 {
+		// A balancer that starts may hear of one of the upstreams first, and must not use the cookie for it.
+		a.claims = a.claims.With(claims.Claim{Cookie: cookie})
+	}
 	for _, h := range s.candidates {
 		h.contested, h.unambiguous = true, false
 		if h == s.established || h.uses(cookie) {
@@ -260,15 +264,8 @@
 	if a.holders[cookie] == h {
 		delete(a.holders, cookie)
 	}
-	switch claimed := len(a.claims.Of(cookie)) > 0; {
-	case len(s.candidates) == 0:
-		delete(a.shared, cookie)
-	case len(s.candidates) == 1 && !claimed:
-		last := s.candidates[0]
+	if len(s.candidates) == 0 {
 		delete(a.shared, cookie)
-		a.holders[cookie] = last
-		last.contested = slices.ContainsFunc(last.cookies[:], func(c uint32) bool { return a.shared[c] != nil })
-		a.activate(last)
 	}
 }
 
--- a/internal/cookie/allocation/doc.go
+++ b/internal/cookie/allocation/doc.go
@@ -9,7 +9,8 @@
 //     upstream that may have open flows with it,
 //   - without a claim, the upstream that had been established for MaxSettling when this balancer heard of the
 //     others; this balancer claims the cookie for it,
-//   - otherwise none. Packets with the cookie are then forwarded only by a balancer that stores their flow.
+//   - otherwise none, also at balancers that know only one of the upstreams, for instance after a start: claims
+//     without an upstream tell them that the cookie is shared. Packets with the cookie are then forwarded only by a balancer that stores their flow.
 //
 // An upstream is established at a balancer some seconds after the balancer has heard of it. By then all
 // balancers in contact with the voters know it, and they give its cookie to no upstream that starts later.
--- a/internal/cookie/claims/claims.go
+++ b/internal/cookie/claims/claims.go
@@ -13,7 +13,8 @@
 const maxClaims = 1024
 
 // Claim states that flows with a cookie may be open at one instance of an upstream. Born is the start time
-// of the instance in milliseconds since 1970 by the upstream's clock.
+// of the instance in milliseconds since 1970 by the upstream's clock. A claim without an incarnation states only
+// that several upstreams have the cookie.
 type Claim struct {
 	_           struct{} `cbor:",toarray"`
 	Cookie      uint32
@@ -51,8 +52,20 @@
 // Len returns the number of claims.
 func (s Set) Len() int { return len(s.sorted) }
 
-// Of returns the claims on one cookie; the caller must not modify them.
+// Of returns the claims of instances on one cookie; the caller must not modify them.
 func (s Set) Of(cookie uint32) []Claim {
+	all := s.on(cookie)
+	if len(all) > 0 && all[0].Incarnation == 0 {
+		return all[1:]
+	}
+	return all
+}
+
+// Shared reports whether some process knows that several upstreams have a cookie.
+func (s Set) Shared(cookie uint32) bool { return len(s.on(cookie)) > 0 }
+
+// on returns the claims on one cookie, that without an incarnation first.
+func (s Set) on(cookie uint32) []Claim {
 	byCookie := func(c Claim, cookie uint32) int { return cmp.Compare(c.Cookie, cookie) }
 	first, found := slices.BinarySearchFunc(s.sorted, cookie, byCookie)
 	if !found {
--- a/internal/cookie/router/upstreams.go
+++ b/internal/cookie/router/upstreams.go
@@ -67,13 +67,18 @@
 // Most of those that a starting balancer receives have been known to others for long, and their flows
 // must not wait.
 func (r *Router) establishedAt(now time.Time, incarnation uint64) time.Time {
-	if now.Sub(r.targetsKnownAt) < allocation.MaxSettling && (r.recent == nil || !r.recent(incarnation)) {
+	if r.starting(now) && (r.recent == nil || !r.recent(incarnation)) {
 		return now
 	}
 	r.added.Note(now, incarnation)
 	return now.Add(r.settling)
 }
 
+// starting reports whether the router may not have received all upstreams yet.
+func (r *Router) starting(now time.Time) bool {
+	return now.Sub(r.targetsKnownAt) < allocation.MaxSettling
+}
+
 // SetLevels sets the number of levels of the tree of balancers.
 func (r *Router) SetLevels(levels int) {
 	r.settling = min(time.Duration(max(levels, 1))*allocation.SettlingPerLevel, allocation.MaxSettling)
