--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -223,15 +223,7 @@
 	old.drain()
 	time.AfterFunc(drainGrace, old.withdraw)
 	// The old upstream serves its flows until it stops.
-	time.AfterFunc(drainGrace+withdrawnServeTime, func() {
-		r.mu.Lock()
-		ended := r.ended || r.stopped[old.self.Incarnation]
-		r.stopped[old.self.Incarnation] = true
-		r.mu.Unlock()
-		if !ended {
-			old.stop()
-		}
-	})
+	time.AfterFunc(drainGrace+withdrawnServeTime, func() { r.stopUpstream(old) })
 }
 
 // faultsPerUpstreamRestart is the mean number of faults of injectFault for each upstream restart.
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -140,9 +140,7 @@
 		p.Kill()
 	}
 	for _, u := range r.upstreams {
-		if !r.isStopped(u.self.Incarnation) {
-			u.stop()
-		}
+		r.stopUpstream(u)
 	}
 	for _, p := range r.proxies {
 		p.Close()
@@ -340,6 +338,17 @@
 	}
 }
 
+// stopUpstream stops an upstream unless it has been stopped before.
+func (r *Run) stopUpstream(u *simulatedUpstream) {
+	r.mu.Lock()
+	before := r.stopped[u.self.Incarnation]
+	r.stopped[u.self.Incarnation] = true
+	r.mu.Unlock()
+	if !before {
+		u.stop()
+	}
+}
+
 func (r *Run) isStopped(incarnation uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
