--- a/internal/control/agreement/agreement.go
+++ b/internal/control/agreement/agreement.go
@@ -75,6 +75,8 @@
 	// sentCommit is the last commit index sent to the follower.
 	sentCommit     uint64
 	snapshotSentAt time.Time
+	// version is the protocolVersion of the follower's last response.
+	version uint64
 }
 
 // joinRequest is the last join request of one voter.
@@ -87,11 +89,13 @@
 
 // Node is the Raft state of one voter; it is not safe for concurrent use.
 type Node struct {
-	settings         Settings
-	role             Role
-	vote             Vote
-	snapshot         Snapshot
-	entries          []Entry
+	settings Settings
+	role     Role
+	vote     Vote
+	snapshot Snapshot
+	entries  []Entry
+	list     voterList
+	// voters has the entries of all lists in force.
 	voters           []Voter
 	votersAt         uint64
 	leader           string
@@ -120,16 +124,13 @@
 	s.Tolerate = max(s.Tolerate, 1)
 	a := &Node{
 		settings: s, role: Follower, vote: d.Vote, snapshot: d.Snapshot, entries: d.Entries,
-		voters: d.Snapshot.Voters, votersAt: d.Snapshot.Index,
 		commit: d.Snapshot.Index, applied: d.Snapshot.Index, lastLeaderContact: now,
 		progress: map[string]*progress{}, joinRequests: map[string]joinRequest{},
 		rng: rand.New(rand.NewPCG(s.Seed, uint64(len(s.Self.Id)))),
 	}
 	a.durableIndex = a.lastIndex()
 	a.commit = min(max(a.commit, d.Commit), a.durableIndex)
-	for _, e := range a.entries {
-		a.adoptVoters(e)
-	}
+	a.recomputeVoters()
 	if len(a.voters) == 0 {
 		a.role = Unfounded
 	}
@@ -150,6 +151,8 @@
 	Last    uint64
 	Applied uint64
 	Voters  []Voter
+	// Joint reports whether two lists of voters are in force; Voters then has the voters of both.
+	Joint bool
 	// VotersAt is the index of the entry that holds the list of voters.
 	VotersAt uint64
 	// Current reports whether this voter holds the leader's lease, and so has every
@@ -165,7 +168,7 @@
 func (a *Node) Status(now time.Time) Status {
 	s := Status{
 		Role: a.role, Name: a.settings.Self.Name, Leader: a.voter(a.leader), Term: a.vote.Term, Commit: a.commit,
-		Last: a.lastIndex(), Applied: a.applied, Voters: a.voters, VotersAt: a.votersAt, Current: a.HoldsLease(now), Kept: len(a.entries),
+		Last: a.lastIndex(), Applied: a.applied, Voters: a.voters, Joint: a.list.joint(), VotersAt: a.votersAt, Current: a.HoldsLease(now), Kept: len(a.entries),
 	}
 	if a.role != Leader {
 		s.Silence = now.Sub(a.lastLeaderContact)
@@ -259,17 +262,25 @@
 }
 
 func (a *Node) send(m Message) {
-	m.From, m.Address = a.settings.Self.Id, a.settings.Self.Address
+	a.stamp(&m)
 	if m.Term == 0 {
 		m.Term = a.vote.Term
 	}
 	a.effects = append(a.effects, Effect{Send: &m})
 }
 
+// stamp sets the sender of a message, and its protocol version in a response.
+func (a *Node) stamp(m *Message) {
+	m.From, m.Address = a.settings.Self.Id, a.settings.Self.Address
+	if m.Kind == AppendEntriesResponse {
+		m.LogTerm = protocolVersion
+	}
+}
+
 // persist emits an effect that syncs p to disk and then sends p.SendAfterSync.
 func (a *Node) persist(p Persist) {
 	for i := range p.SendAfterSync {
-		p.SendAfterSync[i].From, p.SendAfterSync[i].Address = a.settings.Self.Id, a.settings.Self.Address
+		a.stamp(&p.SendAfterSync[i])
 		p.SendAfterSync[i].Term = a.vote.Term
 	}
 	a.effects = append(a.effects, Effect{Persist: &p})
@@ -284,7 +295,7 @@
 func (a *Node) tick(now time.Time) {
 	switch {
 	case a.role == Unfounded || !a.canVote():
-		a.sendJoinRequests(now)
+		a.tickWithoutVote(now)
 	case a.role == Leader:
 		a.tickLeader(now)
 	case now.After(a.electionDeadline):
@@ -301,15 +312,16 @@
 	}
 }
 
-// compact replaces the applied entries by a snapshot.
+// compact replaces the applied entries by a snapshot. A snapshot holds one list of voters, so
+// the applied entries are kept while two are in force.
 func (a *Node) compact(data []byte) {
-	if a.applied <= a.snapshot.Index {
+	list := a.votersAtIndex(a.applied)
+	if a.applied <= a.snapshot.Index || list.joint() {
 		return
 	}
 	term, _ := a.termAt(a.applied)
-	voters := a.votersAtIndex(a.applied)
 	rest := slices.Clone(a.entries[a.applied-a.snapshot.Index:])
-	a.snapshot = Snapshot{Index: a.applied, Term: term, Voters: voters, Data: data}
+	a.snapshot = Snapshot{Index: a.applied, Term: term, Voters: list.Next, Data: data}
 	a.entries = rest
 	a.persistSnapshot()
 }
--- a/internal/control/agreement/durable.go
+++ b/internal/control/agreement/durable.go
@@ -13,6 +13,9 @@
 	Voters
 	// NoOp is written by a new leader to commit the entries of earlier terms.
 	NoOp
+	// JointVoters is a membership change of more than one voter: it holds the new list of
+	// voters and the one that it replaces. Builds that do not know it keep the list before it.
+	JointVoters
 )
 
 // Entry is one entry of the replicated log.
--- a/internal/control/agreement/election.go
+++ b/internal/control/agreement/election.go
@@ -8,6 +8,14 @@
 	"github.com/samber/lo"
 )
 
+// tickWithoutVote requests to join, unless a leader sends the log to this voter as a learner.
+func (a *Node) tickWithoutVote(now time.Time) {
+	if a.self().Learner && a.hasActiveLeader(now) {
+		return
+	}
+	a.sendJoinRequests(now)
+}
+
 // sendJoinRequests requests that the cluster be bootstrapped, or that this voter be added to it.
 func (a *Node) sendJoinRequests(now time.Time) {
 	if now.Sub(a.lastSent) < a.settings.Heartbeat {
@@ -133,7 +141,7 @@
 	if !m.Granted && a.lastIndex() == 1 && a.voter(m.Voter.Id).Id != "" {
 		// The Bootstrap message to the sender was lost. Without a retry the sender
 		// would never join.
-		a.send(Message{Kind: Bootstrap, To: m.Voter.Id, Voters: a.voters})
+		a.send(Message{Kind: Bootstrap, To: m.Voter.Id, Voters: a.list.Next})
 	}
 }
 
@@ -229,12 +237,12 @@
 	a.checkPreVotes(now)
 }
 
-func (a *Node) countVotes() int {
-	return lo.CountBy(a.voters, func(v Voter) bool { return !v.Learner && a.votes[v.Id] })
+func (a *Node) hasQuorumOfVotes() bool {
+	return a.list.hasQuorum(func(id string) bool { return a.votes[id] })
 }
 
 func (a *Node) checkPreVotes(now time.Time) {
-	if a.countVotes() >= a.quorum() {
+	if a.hasQuorumOfVotes() {
 		a.campaign(now, false)
 	}
 }
@@ -300,7 +308,7 @@
 		return
 	}
 	a.votes[m.From] = true
-	if a.countVotes() < a.quorum() {
+	if !a.hasQuorumOfVotes() {
 		return
 	}
 	a.role, a.leader, a.leaderSince = Leader, a.settings.Self.Id, now
--- a/internal/control/agreement/lease.go
+++ b/internal/control/agreement/lease.go
@@ -1,11 +1,6 @@
 package agreement
 
-import (
-	"slices"
-	"time"
-
-	"github.com/samber/lo"
-)
+import "time"
 
 // HoldsLease reports whether this voter is the leader and its lease holds. It then has every
 // committed change, since no majority elects another leader until the lease ends.
@@ -45,21 +40,13 @@
 // quorumAckTime returns the latest time such that a majority has acknowledged messages sent at
 // that time or later.
 func (a *Node) quorumAckTime(now time.Time) time.Time {
-	times := lo.FilterMap(a.voters, func(v Voter, _ int) (time.Time, bool) {
-		switch p := a.progress[v.Id]; {
-		case v.Learner:
-			return time.Time{}, false
-		case v.Id == a.settings.Self.Id:
-			return now, true
-		case p == nil:
-			return time.Time{}, true
-		default:
-			return p.ackedSendTime, true
+	return quorumValue(a.list, func(id string) time.Time {
+		if id == a.settings.Self.Id {
+			return now
+		}
+		if p := a.progress[id]; p != nil {
+			return p.ackedSendTime
 		}
-	})
-	if len(times) == 0 {
 		return time.Time{}
-	}
-	slices.SortFunc(times, func(x, y time.Time) int { return y.Compare(x) })
-	return times[len(times)/2]
+	}, time.Time.Compare)
 }
--- a/internal/control/agreement/members_test.go
+++ b/internal/control/agreement/members_test.go
@@ -4,9 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"wasabideal/internal/control/agreement"
+	"wasabideal/internal/control/ledger"
 	"wasabideal/internal/disk/fault"
 )
 
@@ -170,3 +172,38 @@
 	})
 	require.Equal(t, agreement.Leader, leader.state.Status(c.now).Role)
 }
+
+// A voter loses its disk, joins as a learner, and loses its disk again before it is promoted. If
+// the dead learner got a vote beside its former id, the two other voters would be no majority.
+func TestDiskLostAgainBeforePromotionLeavesMajority(t *testing.T) {
+	for _, delay := range []time.Duration{tick, 2 * tick, 3 * tick, 4 * tick, 6 * tick, 10 * tick} {
+		c := bootstrappedCluster(t)
+		leader := c.leader()
+		lost := c.others(leader)[0]
+		lost.crash()
+		c.run(time.Second)
+		lost.replaceDisk()
+		c.runUntil(func() bool { return c.listed(leader, lost.id) })
+		c.run(delay)
+		lost.crash()
+		c.run(time.Second)
+		lost.replaceDisk()
+		c.run(12 * time.Second)
+		require.NotNil(t, c.leader(), "lost again %s after it was listed", delay)
+		require.NoError(t, c.propose(c.leader(), "next", 1, "b"))
+		c.run(time.Second)
+		require.Equal(t, ledger.Accepted, c.results["next"].Verdict)
+		require.ElementsMatch(t, c.names, votersOf(c))
+	}
+}
+
+// listed reports whether an id is in the list of voters of a node, also as a learner.
+func (c *cluster) listed(n *node, id string) bool {
+	return lo.ContainsBy(n.state.Status(c.now).Voters, func(v agreement.Voter) bool { return v.Id == id })
+}
+
+func (c *cluster) runUntil(reached func() bool) {
+	for end := c.now.Add(20 * time.Second); !reached(); c.run(tick) {
+		require.True(c.t, c.now.Before(end))
+	}
+}
--- a/internal/control/agreement/message.go
+++ b/internal/control/agreement/message.go
@@ -26,12 +26,14 @@
 
 // Message is a message between two voters.
 type Message struct {
-	_       struct{} `cbor:",toarray"`
-	Kind    MessageKind
-	From    string
-	To      string
-	Term    uint64
-	Index   uint64
+	_     struct{} `cbor:",toarray"`
+	Kind  MessageKind
+	From  string
+	To    string
+	Term  uint64
+	Index uint64
+	// LogTerm is the term of the entry at Index. In an AppendEntriesResponse, it is the
+	// sender's protocolVersion.
 	LogTerm uint64
 	Commit  uint64
 	// Granted is the result in a response. In a JoinRequest, it means that the sender has a
@@ -48,6 +50,10 @@
 	Sent int64
 }
 
+// protocolVersion is sent in each AppendEntriesResponse. Builds that send 0 do not know
+// JointVoters entries.
+const protocolVersion = 1
+
 // Effect is one action that the caller must perform; exactly one field is set.
 type Effect struct {
 	// Send is sent at once.
--- a/internal/control/agreement/replication.go
+++ b/internal/control/agreement/replication.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/samber/lo"
 )
 
 // append adds an entry to the leader's log and replicates it.
@@ -49,6 +47,7 @@
 	for _, v := range a.peers() {
 		a.replicate(now, v.Id, a.progressOf(v.Id))
 	}
+	a.leaveJoint(now)
 	a.updateVoters(now)
 }
 
@@ -67,12 +66,23 @@
 	}
 	p.pending = true
 	p.sentCommit = a.commit
+	var entries []Entry
+	if !a.withholdsEntries(id, p) {
+		entries = a.entriesFrom(p.next, a.settings.EntriesPerMessage)
+	}
 	a.send(Message{
 		Kind: AppendEntries, To: id, Index: previous, LogTerm: term, Commit: a.commit,
-		Entries: a.entriesFrom(p.next, a.settings.EntriesPerMessage), Sent: now.UnixNano(),
+		Entries: entries, Sent: now.UnixNano(),
 	})
 }
 
+// withholdsEntries reports whether a follower receives heartbeats without entries: an outgoing
+// voter whose build may not know JointVoters entries. With such an entry in its log, it could
+// win an election by the votes of the previous list alone.
+func (a *Node) withholdsEntries(id string, p *progress) bool {
+	return p.version == 0 && a.list.outgoing(id)
+}
+
 func (a *Node) sendSnapshot(now time.Time, id string, p *progress) {
 	if now.Sub(p.snapshotSentAt) < snapshotInterval {
 		return
@@ -154,6 +164,7 @@
 	}
 	p := a.progressOf(m.From)
 	p.pending = false
+	p.version = m.LogTerm
 	if sent := time.Unix(0, m.Sent); sent.After(p.ackedSendTime) {
 		p.ackedSendTime = sent
 	}
@@ -174,7 +185,7 @@
 func (a *Node) replicateCommit(now time.Time) {
 	for _, v := range a.peers() {
 		p := a.progressOf(v.Id)
-		if !p.pending && (p.next <= a.lastIndex() || p.sentCommit < a.commit) {
+		if !p.pending && !a.withholdsEntries(v.Id, p) && (p.next <= a.lastIndex() || p.sentCommit < a.commit) {
 			a.replicate(now, v.Id, p)
 		}
 	}
@@ -183,19 +194,19 @@
 // advanceCommit commits the entries that a majority has synced, once the last of them is of
 // the leader's own term: an entry of an earlier term may still be replaced (Ongaro, 2014, 3.6.2).
 func (a *Node) advanceCommit(now time.Time) {
-	matches := lo.FilterMap(a.voters, func(v Voter, _ int) (uint64, bool) {
-		if v.Id == a.settings.Self.Id {
-			return a.durableIndex, !v.Learner
+	index := a.list.quorumIndex(func(id string) uint64 {
+		if id == a.settings.Self.Id {
+			return a.durableIndex
 		}
-		return a.progressOf(v.Id).match, !v.Learner
+		return a.progressOf(id).match
 	})
-	slices.Sort(matches)
-	index := matches[(len(matches)-1)/2]
 	if t, ok := a.termAt(index); !ok || t != a.vote.Term || index <= a.commit {
 		return
 	}
 	a.commit = index
 	if !a.canVote() && a.votersAt <= a.commit {
 		a.stepDown(now, a.vote.Term)
+		return
 	}
+	a.leaveJoint(now)
 }
--- a/internal/control/voter/effects.go
+++ b/internal/control/voter/effects.go
@@ -88,7 +88,7 @@
 }
 
 func (v *Voter) compactIfNeeded() {
-	if v.agreement.Status(v.settings.Clock()).Kept < v.settings.CompactAfter {
+	if s := v.agreement.Status(v.settings.Clock()); s.Joint || s.Kept < v.settings.CompactAfter {
 		return
 	}
 	data, err := v.ledger.Snapshot()
--- a/internal/control/voter/voter.go
+++ b/internal/control/voter/voter.go
@@ -274,7 +274,7 @@
 		}
 		return x.Name
 	})
-	v.log.Info("standing", "Role", s.Role, "Leader", s.Leader.Name, "Term", s.Term, "Voters", strings.Join(names, ", "),
+	v.log.Info("standing", "Role", s.Role, "Leader", s.Leader.Name, "Term", s.Term, "Voters", strings.Join(names, ", "), "Joint", s.Joint,
 		"Accepted", s.Commit, "Last", s.Last, "Silence", s.Silence.String())
 }
 
