--- a/internal/control/agreement/reconfiguration.go
+++ b/internal/control/agreement/reconfiguration.go
@@ -167,14 +167,19 @@
 // grow promotes as many learners at once as the list of voters bears.
 func (a *Node) grow(now time.Time, ready []Voter) ([]Voter, bool) {
 	voting := a.voting()
+	allReachable := lo.EveryBy(voting, func(v Voter) bool { return a.isReachable(now, v) })
 	if !a.tolerates(len(voting), a.settings.Tolerate) {
-		allReachable := lo.EveryBy(voting, func(v Voter) bool { return a.isReachable(now, v) })
 		return promote(a.voters, lo.Slice(ready, 0, 1)), allReachable && len(ready) > 0
 	}
 	for n := len(ready); n > 0; n-- {
-		// Each learner may succeed a voter that is already gone: together they count as one loss.
-		losses := a.settings.Tolerate + min(n, a.settings.Tolerate)
-		if a.tolerates(len(voting)+n, losses) && (n == 1 || a.supportJoint(append(voting, ready[:n]...), Voter{})) {
+		// A learner may succeed a voter that is already gone: together they count as one loss. If
+		// all voters are reachable, at most one of them is taken to be gone.
+		unnoticed := min(n, a.settings.Tolerate)
+		if allReachable {
+			unnoticed = 1
+		}
+		bears := a.tolerates(len(voting)+n, a.settings.Tolerate+unnoticed)
+		if bears && (n == 1 || a.supportJoint(append(voting, ready[:n]...), Voter{})) {
 			return promote(a.voters, ready[:n]), true
 		}
 	}
