--- a/internal/control/agreement/agreement.go
+++ b/internal/control/agreement/agreement.go
@@ -96,16 +96,20 @@
 	entries  []Entry
 	list     voterList
 	// voters has the entries of all lists in force.
-	voters           []Voter
-	votersAt         uint64
-	leader           string
-	commit           uint64
-	applied          uint64
-	durableIndex     uint64
-	votes            map[string]bool
-	preVoting        bool
-	progress         map[string]*progress
-	joinRequests     map[string]joinRequest
+	voters       []Voter
+	votersAt     uint64
+	leader       string
+	commit       uint64
+	applied      uint64
+	durableIndex uint64
+	votes        map[string]bool
+	preVoting    bool
+	progress     map[string]*progress
+	joinRequests map[string]joinRequest
+	// leaveRequests holds the time of the last LeaveRequest of each voter, by id.
+	leaveRequests map[string]time.Time
+	// leave is the state of this voter's own departure from the list.
+	leave            Leave
 	electionDeadline time.Time
 	// lastLeaderContact is the time of the last message from a leader, initially the start time.
 	lastLeaderContact time.Time
@@ -126,7 +130,8 @@
 		settings: s, role: Follower, vote: d.Vote, snapshot: d.Snapshot, entries: d.Entries,
 		commit: d.Snapshot.Index, applied: d.Snapshot.Index, lastLeaderContact: now,
 		progress: map[string]*progress{}, joinRequests: map[string]joinRequest{},
-		rng: rand.New(rand.NewPCG(s.Seed, uint64(len(s.Self.Id)))),
+		leaveRequests: map[string]time.Time{},
+		rng:           rand.New(rand.NewPCG(s.Seed, uint64(len(s.Self.Id)))),
 	}
 	a.durableIndex = a.lastIndex()
 	a.commit = min(max(a.commit, d.Commit), a.durableIndex)
@@ -294,6 +299,7 @@
 
 func (a *Node) tick(now time.Time) {
 	switch {
+	case a.leave == Left:
 	case a.role == Unfounded || !a.canVote():
 		a.tickWithoutVote(now)
 	case a.role == Leader:
--- a/internal/control/agreement/election.go
+++ b/internal/control/agreement/election.go
@@ -91,6 +91,12 @@
 	case PreVoteResponse:
 		a.receivePreVoteResponse(now, m)
 		return
+	case LeaveRequest:
+		a.receiveLeaveRequest(now, m)
+		return
+	case LeaveResponse:
+		a.receiveLeaveResponse(m)
+		return
 	}
 	if m.Kind == RequestVote && a.hasActiveLeader(now) && !m.Granted {
 		// The leader's lease relies on voters that ignore vote requests while
@@ -117,7 +123,7 @@
 		a.receiveAppendEntriesResponse(now, m)
 	case TimeoutNow:
 		a.receiveTimeoutNow(now, m)
-	case JoinRequest, Bootstrap, PreVote, PreVoteResponse:
+	case JoinRequest, Bootstrap, PreVote, PreVoteResponse, LeaveRequest, LeaveResponse:
 	}
 }
 
--- a/internal/control/agreement/members_test.go
+++ b/internal/control/agreement/members_test.go
@@ -1,6 +1,7 @@
 package agreement_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -207,3 +208,65 @@
 		require.True(c.t, c.now.Before(end))
 	}
 }
+
+// stopAsPlanned stops a voter as a process does at SIGTERM.
+func (n *node) stopAsPlanned() agreement.Leave {
+	c := n.cluster
+	n.execute(n.state.TransferLeadership(c.now))
+	for end := c.now.Add(2 * time.Second); n.state.Leaving() == agreement.Staying && c.now.Before(end); c.run(tick) {
+		n.execute(n.state.RequestLeave())
+	}
+	n.crash()
+	return n.state.Leaving()
+}
+
+// A VM is removed as planned while its successor runs, and another VM loses its disk at once. If
+// the removed voter still counted, the two others would be no majority (review/1).
+func TestDiskLostRightAfterPlannedReplacementLeavesMajority(t *testing.T) {
+	for _, successors := range []int{1, 2, 3} {
+		for i := range 4 {
+			c := bootstrappedCluster(t)
+			for n := range successors {
+				c.add(fmt.Sprintf("v%d", n+4))
+			}
+			c.run(7 * time.Second)
+			removed := c.nodes[c.names[i%3]]
+			require.Equal(t, agreement.Left, removed.stopAsPlanned())
+			lost := c.others(removed)[i%2]
+			lost.crash()
+			c.run(time.Second)
+			lost.replaceDisk()
+			c.run(12 * time.Second)
+			require.NotNil(t, c.leader())
+			require.NoError(t, c.propose(c.leader(), "next", 1, "b"))
+			c.run(time.Second)
+			require.Equal(t, ledger.Accepted, c.results["next"].Verdict)
+		}
+	}
+}
+
+// A voter without a successor is restarted as planned. If it left the list of three, the loss of
+// another disk would be fatal.
+func TestPlannedStopWithoutSuccessorKeepsVoter(t *testing.T) {
+	c := bootstrappedCluster(t)
+	for _, name := range c.names {
+		stopped := c.nodes[name]
+		require.Equal(t, agreement.Kept, stopped.stopAsPlanned())
+		stopped.start()
+		c.run(4 * time.Second)
+		require.ElementsMatch(t, c.names, votersOf(c))
+	}
+}
+
+// Two processes share a name by a configuration mistake. The one that is no voter must not
+// replace the voter, which is reachable.
+func TestSecondProcessOfOneNameGetsNoVote(t *testing.T) {
+	c := bootstrappedCluster(t)
+	leader, twin := c.leader(), c.others(c.leader())[0]
+	for range 100 {
+		c.send(agreement.Message{Kind: agreement.JoinRequest, To: leader.id, Voter: agreement.Voter{Name: twin.name, Id: "second", Address: twin.name}})
+		c.run(tick)
+	}
+	require.False(t, c.listed(leader, "second"))
+	require.True(t, c.listed(leader, twin.id))
+}
--- a/internal/control/agreement/message.go
+++ b/internal/control/agreement/message.go
@@ -22,6 +22,10 @@
 	// TimeoutNow asks a follower to start an election at once, because the leader is stopping.
 	// The follower's RequestVote messages have Granted set.
 	TimeoutNow
+	// LeaveRequest asks the leader to take the sender out of the list, because it stops as planned.
+	LeaveRequest
+	// LeaveResponse has Granted set if the receiver has no vote any more.
+	LeaveResponse
 )
 
 // Message is a message between two voters.
--- a/internal/control/agreement/reconfiguration.go
+++ b/internal/control/agreement/reconfiguration.go
@@ -32,6 +32,7 @@
 		// configuration mistake, and no disk was replaced.
 		return
 	}
+	delete(a.leaveRequests, v.Id)
 	v.Learner = true
 	others := lo.Reject(a.voters, func(o Voter, _ int) bool { return o.Learner && o.Name == v.Name })
 	a.changeVoters(now, append(others, v))
@@ -108,7 +109,7 @@
 // with a reachable voter is none of them (see addLearner).
 func (a *Node) readyLearners(now time.Time) []Voter {
 	return lo.Filter(a.voters, func(l Voter, _ int) bool {
-		return l.Learner && a.isReachable(now, l) && a.progressOf(l.Id).match >= a.commit &&
+		return l.Learner && a.isReachable(now, l) && !a.isLeaving(now, l) && a.progressOf(l.Id).match >= a.commit &&
 			!lo.ContainsBy(a.voting(), func(v Voter) bool { return v.Name == l.Name && a.isReachable(now, v) })
 	})
 }
@@ -123,12 +124,12 @@
 	return nil, false
 }
 
-// replaceUnreachable replaces the voter that has been unreachable the longest.
+// replaceUnreachable replaces a voter that leaves, or the one that has been unreachable the longest.
 func (a *Node) replaceUnreachable(now time.Time, ready []Voter) ([]Voter, bool) {
 	if len(ready) == 0 {
 		return nil, false
 	}
-	v, ok := a.longestUnreachable(now, func(Voter) time.Duration { return replaceAfterElections * a.settings.Election })
+	v, ok := a.longestGone(now, func(Voter) time.Duration { return replaceAfterElections * a.settings.Election })
 	if !ok {
 		return nil, false
 	}
@@ -189,7 +190,7 @@
 // tolerates reports whether a majority of n voters remains after a number of losses.
 func (a *Node) tolerates(n, losses int) bool { return n-losses >= majorityOf(n) }
 
-// removeUnreachable removes the voter that has been unreachable the longest, so
+// removeUnreachable removes a voter that leaves, or the one that has been unreachable the longest, so
 // that a deleted VM does not count towards the majority forever. A removed voter that
 // returns is added again. Enough voters stay in the list to retain a majority after
 // Tolerate losses. If Tolerate is 2 and two of six voters are partitioned for some
@@ -198,7 +199,7 @@
 	if !a.tolerates(len(a.voting())-1, a.settings.Tolerate) {
 		return nil, false
 	}
-	v, ok := a.longestUnreachable(now, a.removalTimeout)
+	v, ok := a.longestGone(now, a.removalTimeout)
 	return lo.Reject(a.voters, func(o Voter, _ int) bool { return o.Id == v.Id }), ok
 }
 
@@ -212,12 +213,14 @@
 	return removeAfterElections * a.settings.Election
 }
 
-// longestUnreachable returns the voter that has been unreachable the longest, and false if none
-// has for its timeout.
-func (a *Node) longestUnreachable(now time.Time, timeoutOf func(Voter) time.Duration) (Voter, bool) {
-	unreachable := lo.Filter(a.voting(), func(v Voter, _ int) bool {
-		return v.Id != a.settings.Self.Id && a.timeSinceAck(now, v) >= timeoutOf(v)
-	})
+// longestGone returns a voter that leaves, or else the one that has been unreachable the longest. It
+// returns false if no voter leaves and none has been unreachable for its timeout.
+func (a *Node) longestGone(now time.Time, timeoutOf func(Voter) time.Duration) (Voter, bool) {
+	others := lo.Filter(a.voting(), func(v Voter, _ int) bool { return v.Id != a.settings.Self.Id })
+	if v, ok := lo.Find(others, func(v Voter) bool { return a.isLeaving(now, v) }); ok {
+		return v, true
+	}
+	unreachable := lo.Filter(others, func(v Voter, _ int) bool { return a.timeSinceAck(now, v) >= timeoutOf(v) })
 	return lo.MaxBy(unreachable, func(x, y Voter) bool { return a.timeSinceAck(now, x) > a.timeSinceAck(now, y) }), len(unreachable) > 0
 }
 
--- a/internal/daemon/control/control.go
+++ b/internal/daemon/control/control.go
@@ -264,12 +264,11 @@
 func (c *Control) Address() string { return c.listener.Addr().String() }
 
 // Stop ends the voter's goroutines and closes its listener and data folder. A leader first
-// transfers its leadership.
+// transfers its leadership, and each voter leaves the list of voters if it can.
 func (c *Control) Stop() {
 	if c.cancel != nil {
 		c.voter.TransferLeadership()
-	}
-	if c.cancel != nil {
+		c.voter.Leave()
 		c.cancel()
 	}
 	_ = c.listener.Close()
