--- a/internal/placement/zoneshare/zoneshare.go
+++ b/internal/placement/zoneshare/zoneshare.go
@@ -155,7 +155,9 @@
 	if c == Bulk {
 		above = sendBulkAbove
 	}
-	threshold := max(above, level) * bounded(own.Slots)
+	// The conversion rounds the product. A fused multiply-subtract would find an excess of some
+	// 1e-17 where the demand is exactly at the threshold.
+	threshold := float64(max(above, level) * bounded(own.Slots))
 	demand := bounded(own.Demand)
 	excess := demand - threshold
 	switch {
