--- a/internal/control/agreement/agreement_test.go
+++ b/internal/control/agreement/agreement_test.go
@@ -42,6 +42,12 @@
 	// results holds the answers to proposed changes, by change key.
 	results map[string]ledger.Answer
 	starts  int
+	// settings holds the timeouts and the tolerance of all voters.
+	settings agreement.Settings
+	// late is the share of messages that arrive up to three seconds late.
+	late float64
+	// side splits the voters in two halves, by name. It is empty without a split.
+	side map[string]bool
 }
 
 type node struct {
@@ -55,6 +61,13 @@
 	applied  uint64
 	pending  map[uint64]proposal
 	revision uint64
+	// events result from effects that are being executed.
+	events []agreement.Event
+	// frozen nodes process nothing; their messages wait.
+	frozen bool
+	// syncTime is how long each sync takes. The node is busy until busyUntil.
+	syncTime  time.Duration
+	busyUntil time.Time
 }
 
 type proposal struct {
@@ -69,7 +82,12 @@
 }
 
 func newCluster(t require.TestingT, n int, seed uint64) *cluster {
+	return newClusterWith(t, n, seed, agreement.Settings{Heartbeat: 200 * time.Millisecond, Election: time.Second})
+}
+
+func newClusterWith(t require.TestingT, n int, seed uint64, s agreement.Settings) *cluster {
 	c := &cluster{
+		settings: s, side: map[string]bool{},
 		t: t, now: epoch, random: rand.New(rand.NewPCG(seed, seed)), nodes: map[string]*node{}, partitioned: map[string]bool{},
 		leaders: map[uint64]string{}, committed: map[uint64]agreement.Entry{}, results: map[string]ledger.Answer{},
 	}
@@ -100,15 +118,16 @@
 		founders = append(founders, agreement.Voter{Name: name, Address: name})
 	}
 	n.wal = w
-	n.state = agreement.New(agreement.Settings{
-		Self: agreement.Voter{Name: n.name, Id: n.id, Address: n.name}, Founders: founders,
-		Heartbeat: 200 * time.Millisecond, Election: time.Second, Seed: uint64(n.cluster.starts), EntriesPerMessage: 8,
-	}, d, n.cluster.now)
+	s := n.cluster.settings
+	s.Self, s.Founders = agreement.Voter{Name: n.name, Id: n.id, Address: n.name}, founders
+	s.Seed, s.EntriesPerMessage = uint64(n.cluster.starts), 8
+	n.state = agreement.New(s, d, n.cluster.now)
 	n.ledger = ledger.New()
 	require.NoError(n.cluster.t, n.ledger.Restore(d.Snapshot.Data))
 	n.applied = d.Snapshot.Index
 	n.revision = n.ledger.Current().Revision
 	n.pending = map[uint64]proposal{}
+	n.events, n.busyUntil = nil, time.Time{}
 	n.up = true
 	n.cluster.starts++
 }
@@ -119,11 +138,13 @@
 }
 
 func (n *node) reduce(e agreement.Event) {
-	if n.up {
+	if n.up && !n.stalled() {
 		n.execute(n.state.Reduce(n.cluster.now, e))
 	}
 }
 
+func (n *node) stalled() bool { return n.frozen || n.cluster.now.Before(n.busyUntil) }
+
 func (n *node) execute(effects []agreement.Effect) {
 	for _, x := range effects {
 		if !n.up {
@@ -141,17 +162,23 @@
 			n.applied = x.Restore.Index
 		}
 	}
+	for n.up && len(n.events) > 0 {
+		e := n.events[0]
+		n.events = n.events[1:]
+		n.execute(n.state.Reduce(n.cluster.now, e))
+	}
 	n.cluster.checkLeader(n)
 }
 
 func (n *node) persist(p agreement.Persist) {
 	if err := n.wal.Write(p); err != nil {
-		n.reduce(agreement.Event{DiskFailed: true})
+		n.events = nil
+		n.execute(n.state.Reduce(n.cluster.now, agreement.Event{DiskFailed: true}))
 		n.up = false
 		return
 	}
 	for _, m := range p.SendAfterSync {
-		n.cluster.send(m)
+		n.cluster.sendAfter(n.syncTime, m)
 	}
 	last := uint64(0)
 	if p.Snapshot != nil {
@@ -161,8 +188,9 @@
 		last = p.Entries[len(p.Entries)-1].Index
 	}
 	if last > 0 {
-		n.reduce(agreement.Event{Persisted: last})
+		n.events = append(n.events, agreement.Event{Persisted: last})
 	}
+	n.busyUntil = n.cluster.now.Add(n.syncTime)
 }
 
 // apply checks that all voters apply the same entries in the same order.
@@ -199,11 +227,16 @@
 	c.leaders[s.Term] = n.id
 }
 
-func (c *cluster) send(m agreement.Message) {
+func (c *cluster) send(m agreement.Message) { c.sendAfter(0, m) }
+
+func (c *cluster) sendAfter(delay time.Duration, m agreement.Message) {
 	if c.random.Float64() < c.loss {
 		return
 	}
-	delay := time.Duration(c.random.Int64N(int64(20 * time.Millisecond)))
+	delay += time.Duration(c.random.Int64N(int64(20 * time.Millisecond)))
+	if c.late > 0 && c.random.Float64() < c.late {
+		delay += time.Duration(c.random.Int64N(int64(3 * time.Second)))
+	}
 	for copies := 1 + c.random.IntN(10)/9; copies > 0; copies-- {
 		c.network = append(c.network, envelope{to: m.To, due: c.now.Add(delay), message: m})
 		delay *= 3
@@ -249,7 +282,12 @@
 		c.network = slices.Delete(c.network, i, i+1)
 		n := c.nodeFor(e.to)
 		from := c.nameOf(e.message.From)
-		if n == nil || n.name != from && (c.partitioned[n.name] || c.partitioned[from]) {
+		if n == nil || n.name != from && (c.partitioned[n.name] || c.partitioned[from] || c.side[n.name] != c.side[from]) {
+			continue
+		}
+		if n.up && n.stalled() {
+			e.due = c.now.Add(tick)
+			c.network = append(c.network, e)
 			continue
 		}
 		m := e.message
