--- a/internal/control/agreement/agreement_test.go
+++ b/internal/control/agreement/agreement_test.go
@@ -46,6 +46,8 @@
 	settings agreement.Settings
 	// late is the share of messages that arrive up to three seconds late.
 	late float64
+	// cutFrom holds the only voter that a voter is cut off from, by name.
+	cutFrom map[string]string
 	// side splits the voters in two halves, by name. It is empty without a split.
 	side map[string]bool
 }
@@ -87,7 +89,7 @@
 
 func newClusterWith(t require.TestingT, n int, seed uint64, s agreement.Settings) *cluster {
 	c := &cluster{
-		settings: s, side: map[string]bool{},
+		settings: s, side: map[string]bool{}, cutFrom: map[string]string{},
 		t: t, now: epoch, random: rand.New(rand.NewPCG(seed, seed)), nodes: map[string]*node{}, partitioned: map[string]bool{},
 		leaders: map[uint64]string{}, committed: map[uint64]agreement.Entry{}, results: map[string]ledger.Answer{},
 	}
@@ -282,7 +284,7 @@
 		c.network = slices.Delete(c.network, i, i+1)
 		n := c.nodeFor(e.to)
 		from := c.nameOf(e.message.From)
-		if n == nil || n.name != from && (c.partitioned[n.name] || c.partitioned[from] || c.side[n.name] != c.side[from]) {
+		if n == nil || n.name != from && c.isCut(n.name, from) {
 			continue
 		}
 		if n.up && n.stalled() {
@@ -295,6 +297,10 @@
 	}
 }
 
+func (c *cluster) isCut(x, y string) bool {
+	return c.partitioned[x] || c.partitioned[y] || c.side[x] != c.side[y] || c.cutFrom[x] == y || c.cutFrom[y] == x
+}
+
 // checkLease checks that at most one voter holds a lease.
 func (c *cluster) checkLease() {
 	holders := 0
--- a/internal/control/agreement/losses_test.go
+++ b/internal/control/agreement/losses_test.go
@@ -82,6 +82,7 @@
 	}
 	v.frozen, v.syncTime = false, 0
 	delete(l.partitioned, v.name)
+	delete(l.cutFrom, v.name)
 	if v.impaired {
 		v.impaired, v.backAt = false, l.now
 	}
@@ -176,8 +177,10 @@
 			v.frozen = true
 		}
 	case 5:
-		if l.impair(v) {
-			l.partitioned[v.name] = true
+		if leader := l.leader(); l.impair(v) {
+			if l.partitioned[v.name] = leader == nil || rapid.Bool().Draw(l.t, "from all"); !l.partitioned[v.name] {
+				l.cutFrom[v.name] = leader.name
+			}
 		}
 	case 6:
 		if l.impair(v) {
--- a/internal/control/agreement/members_test.go
+++ b/internal/control/agreement/members_test.go
@@ -258,6 +258,28 @@
 	}
 }
 
+// The leader is cut off from one voter and replaces it, and at once the network splits: the replaced
+// voter is alive and elects another leader. If the new list decided alone, both halves would commit.
+func TestReplacedVoterThatIsAliveElectsNoSecondLeader(t *testing.T) {
+	c := bootstrappedCluster(t)
+	leader := c.leader()
+	kept, replaced := c.others(leader)[0], c.others(leader)[1]
+	c.add("v4")
+	c.runUntil(func() bool { return c.nodes["v4"].applied == leader.applied })
+	c.cutFrom[replaced.name] = leader.name
+	c.runUntil(func() bool { return leader.state.Status(c.now).VotersAt > leader.applied })
+	c.side[kept.name], c.side[replaced.name] = true, true
+	for i := range 10 {
+		for _, n := range []*node{leader, kept, replaced} {
+			_ = c.propose(n, fmt.Sprint("change-", i, n.name), n.ledger.Current().Revision, "b")
+		}
+		c.run(time.Second)
+	}
+	clear(c.side)
+	clear(c.cutFrom)
+	c.heal()
+}
+
 // Two processes share a name by a configuration mistake. The one that is no voter must not
 // replace the voter, which is reachable.
 func TestSecondProcessOfOneNameGetsNoVote(t *testing.T) {
--- a/internal/soak/run/faults.go
+++ b/internal/soak/run/faults.go
@@ -29,6 +29,7 @@
 	stalls := rand.New(rand.NewPCG(r.settings.Seed, 4))
 	bursts := rand.New(rand.NewPCG(r.settings.Seed, 5))
 	powerLosses := rand.New(rand.NewPCG(r.settings.Seed, 6))
+	repeatedLosses := rand.New(rand.NewPCG(r.settings.Seed, 7))
 	for end := time.Now().Add(r.settings.For); time.Now().Before(end) && ctx.Err() == nil; {
 		r.injectFault(random)
 		r.diskFault(disks)
@@ -36,6 +37,7 @@
 		r.stall(stalls)
 		r.burst(bursts)
 		r.losePower(powerLosses)
+		r.loseDiskAgain(repeatedLosses)
 		time.Sleep(time.Duration(random.Int64N(int64(maxFaultGap))))
 		r.checkExits()
 	}
@@ -157,15 +159,44 @@
 }
 
 // replaceDisk restarts a voter with an empty disk. A majority of the voters must keep its data.
-// Therefore only one disk is replaced at a time, and only while all voters serve reads.
+// Therefore only one voter at a time loses its disk, and only while all voters serve reads.
 func (r *Run) replaceDisk(p *fleet.Process) {
-	if !r.replacingDisk.CompareAndSwap(false, true) {
+	if r.losses.voter() != nil || !r.allVotersServeReads() {
 		return
 	}
-	if !r.allVotersServeReads() {
-		r.replacingDisk.Store(false)
-		return
+	r.losses.begin(p)
+	r.emptyDisk(p)
+	// Another voter may lose its disk only once this one has all data again. The voter regains its
+	// vote a few heartbeats after it serves reads.
+	r.startGoroutine(func() {
+		for n := 0; ; {
+			for !r.hasEnded() && !r.allVotersServeReads() {
+				time.Sleep(readinessInterval)
+			}
+			time.Sleep(faultSettleTime)
+			if n = r.losses.end(n); n == 0 || r.hasEnded() {
+				return
+			}
+		}
+	})
+}
+
+// passesPerRepeatedLoss is the mean number of calls of injectFault for each repeated loss of a disk.
+const passesPerRepeatedLoss = 3
+
+// loseDiskAgain acts in one of passesPerRepeatedLoss calls: a voter that has lost its disk, and may not
+// have its vote again yet, loses it once more.
+func (r *Run) loseDiskAgain(random *rand.Rand) {
+	again := random.IntN(passesPerRepeatedLoss) == 0
+	if p := r.losses.voter(); p != nil && again {
+		r.recordFault()
+		r.losses.repeat()
+		r.emptyDisk(p)
 	}
+}
+
+// emptyDisk kills a voter, empties its disk and starts it.
+func (r *Run) emptyDisk(p *fleet.Process) {
 	p.Resume()
 	p.Kill()
 	folder := filepath.Join(r.settings.Folder, p.Name)
@@ -176,15 +207,6 @@
 		r.reportViolation(InvariantExit, err.Error())
 	}
 	r.startProcess(p)
-	// The next disk may be replaced only once this voter has all data again. The voter regains its
-	// vote a few heartbeats after it serves reads.
-	r.startGoroutine(func() {
-		defer r.replacingDisk.Store(false)
-		for !r.hasEnded() && !r.allVotersServeReads() {
-			time.Sleep(readinessInterval)
-		}
-		time.Sleep(faultSettleTime)
-	})
 }
 
 // allVotersServeReads reports whether each voter answers a read. To answer, a voter must reach a
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -73,9 +72,9 @@
 	readyBalancers          []string
 	result                  Result
 	// lastFault is the time by which the last injected fault has ended at the latest.
-	lastFault     time.Time
-	replacingDisk atomic.Bool
-	network       network
+	lastFault time.Time
+	losses    diskLosses
+	network   network
 	// callersCPU and upstreamsCPU are the CPUs that all callers and all upstreams share.
 	callersCPU, upstreamsCPU simulatedCPU
 	// burstEnd is when the last burst of load ends.
