--- a/internal/control/agreement/failures_test.go
+++ b/internal/control/agreement/failures_test.go
@@ -109,9 +109,7 @@
 func TestTwoDisksReplacedInTurn(t *testing.T) {
 	c := bootstrappedCluster(t)
 	for _, name := range c.names[1:] {
-		c.nodes[name].crash()
-		c.run(time.Second)
-		c.nodes[name].replaceDisk()
+		c.nodes[name].loseDisk()
 		c.run(15 * time.Second)
 		require.NotNil(t, c.leader())
 		for _, v := range c.leader().state.Status(c.now).Voters {
--- a/internal/control/agreement/losses_test.go
+++ b/internal/control/agreement/losses_test.go
@@ -63,8 +63,13 @@
 
 // mayLose reports whether the tolerance covers the loss of a group.
 func (l *losses) mayLose(group int) bool {
+	return l.mayLoseDisk(group) && (l.lostGroups()[group] || !l.now.Before(l.unsettledUntil))
+}
+
+// mayLoseDisk is mayLose while all VMs are stopped at once.
+func (l *losses) mayLoseDisk(group int) bool {
 	lost := l.lostGroups()
-	return lost[group] || len(lost) < l.settings.Tolerate && !l.now.Before(l.unsettledUntil)
+	return lost[group] || len(lost) < l.settings.Tolerate
 }
 
 func (l *losses) impair(v *vm) bool {
@@ -88,8 +93,8 @@
 	}
 }
 
-// loseDisk lets a VM return with an empty disk.
-func (l *losses) loseDisk(v *vm) {
+// returnEmpty lets a VM return at once with an empty disk.
+func (l *losses) returnEmpty(v *vm) {
 	v.crash()
 	l.restore(v)
 	v.crash()
@@ -129,16 +134,15 @@
 
 // stopAll kills all VMs at once. Those that the tolerance covers lose their disks.
 func (l *losses) stopAll() {
+	l.settle()
 	for _, v := range l.vms {
 		v.crash()
 	}
 	l.run(time.Duration(rapid.IntRange(0, 20).Draw(l.t, "ticks down")) * tick)
 	for _, v := range l.vms {
-		if l.mayLose(v.group) && rapid.IntRange(0, 3).Draw(l.t, "lose disk") == 0 {
+		if l.mayLoseDisk(v.group) && rapid.IntRange(0, 3).Draw(l.t, "lose disk") == 0 {
 			v.impaired = true
-			l.restore(v)
-			v.crash()
-			v.replaceDisk()
+			l.returnEmpty(v)
 		} else if !v.impaired {
 			v.start()
 		}
@@ -146,7 +150,8 @@
 	l.settle()
 }
 
-// settle prolongs the time that VMs need to catch up.
+// settle prolongs the time that VMs need to catch up. It is called before and after all VMs stop or
+// are split, since a VM that has not caught up before does so only afterwards.
 func (l *losses) settle() {
 	lost := l.lostGroups()
 	for _, v := range l.vms {
@@ -170,7 +175,7 @@
 		}
 	case 1, 2, 3:
 		if l.impair(v) {
-			l.loseDisk(v)
+			l.returnEmpty(v)
 		}
 	case 4:
 		if l.impair(v) {
@@ -204,6 +209,7 @@
 	case 12:
 		l.stopAll()
 	case 13:
+		l.settle()
 		for _, o := range l.vms {
 			l.side[o.name] = rapid.Bool().Draw(l.t, "side")
 		}
--- a/internal/control/agreement/members_test.go
+++ b/internal/control/agreement/members_test.go
@@ -128,9 +128,7 @@
 	c := bootstrappedCluster(t)
 	leader := c.leader()
 	replaced := c.others(leader)[0]
-	replaced.crash()
-	c.run(time.Second)
-	replaced.replaceDisk()
+	replaced.loseDisk()
 	promoted := func() bool {
 		for _, v := range leader.state.Status(c.now).Voters {
 			if v.Id == replaced.id && !v.Learner {
@@ -181,23 +179,31 @@
 		c := bootstrappedCluster(t)
 		leader := c.leader()
 		lost := c.others(leader)[0]
-		lost.crash()
-		c.run(time.Second)
-		lost.replaceDisk()
+		lost.loseDisk()
 		c.runUntil(func() bool { return c.listed(leader, lost.id) })
 		c.run(delay)
-		lost.crash()
-		c.run(time.Second)
-		lost.replaceDisk()
+		lost.loseDisk()
 		c.run(12 * time.Second)
 		require.NotNil(t, c.leader(), "lost again %s after it was listed", delay)
-		require.NoError(t, c.propose(c.leader(), "next", 1, "b"))
-		c.run(time.Second)
-		require.Equal(t, ledger.Accepted, c.results["next"].Verdict)
+		c.requireAcceptsChange()
 		require.ElementsMatch(t, c.names, votersOf(c))
 	}
 }
 
+// loseDisk stops a node for a second and starts it with an empty disk.
+func (n *node) loseDisk() {
+	n.crash()
+	n.cluster.run(time.Second)
+	n.replaceDisk()
+}
+
+// requireAcceptsChange checks that the leader accepts the change after the first one.
+func (c *cluster) requireAcceptsChange() {
+	require.NoError(c.t, c.propose(c.leader(), "next", 1, "b"))
+	c.run(time.Second)
+	require.Equal(c.t, ledger.Accepted, c.results["next"].Verdict)
+}
+
 // listed reports whether an id is in the list of voters of a node, also as a learner.
 func (c *cluster) listed(n *node, id string) bool {
 	return lo.ContainsBy(n.state.Status(c.now).Voters, func(v agreement.Voter) bool { return v.Id == id })
@@ -233,14 +239,10 @@
 			removed := c.nodes[c.names[i%3]]
 			require.Equal(t, agreement.Left, removed.stopAsPlanned())
 			lost := c.others(removed)[i%2]
-			lost.crash()
-			c.run(time.Second)
-			lost.replaceDisk()
+			lost.loseDisk()
 			c.run(12 * time.Second)
 			require.NotNil(t, c.leader())
-			require.NoError(t, c.propose(c.leader(), "next", 1, "b"))
-			c.run(time.Second)
-			require.Equal(t, ledger.Accepted, c.results["next"].Verdict)
+			c.requireAcceptsChange()
 		}
 	}
 }
